--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -69,6 +69,13 @@
   const std::string File = absl::GetFlag(FLAGS_settings);
   if (File.empty())
     return usageError("`figturn serve` needs --settings=FILE");
+  if (asksForRoutedDoor(File)) {
+    const RoutedSettingsResult Routed = readRoutedSettings(File);
+    if (Routed.m_Problems.empty())
+      return static_cast<ExitCode>(runRoutedServe(Routed.m_Settings, File));
+    fmt::print(stderr, "{}", describeProblems(Routed.m_Problems));
+    return ExitCode::InvalidConfiguration;
+  }
   const SettingsResult Read = readSettings(File);
   if (!Read.m_Problems.empty()) {
     fmt::print(stderr, "{}", describeProblems(Read.m_Problems));
--- a/src/coordination/ExtraLoadBudget.cpp
+++ b/src/coordination/ExtraLoadBudget.cpp
@@ -20,6 +20,11 @@
 
 void ExtraLoadBudget::refund() { m_Tokens = std::min(m_Tokens + 1, m_Burst); }
 
+void ExtraLoadBudget::setBurst(double Burst) {
+  m_Burst = Burst;
+  m_Tokens = std::min(m_Tokens, m_Burst);
+}
+
 void ExtraLoadBudget::setShare(double Share) { m_Share = Share; }
 
 } // namespace figturn
--- a/src/coordination/ExtraLoadBudget.h
+++ b/src/coordination/ExtraLoadBudget.h
@@ -30,6 +30,9 @@
   /** Gives a token back: the extra call was not sent after all. */
   void refund();
 
+  /** Changes how many unspent tokens are kept. */
+  void setBurst(double Burst);
+
   /** Changes the share when a new configuration comes in force. */
   void setShare(double Share);
 
--- /dev/null
+++ b/src/coordination/ReplicaRace.h
@@ -0,0 +1,111 @@
+#ifndef FIGTURN_COORDINATION_REPLICARACE_H
+#define FIGTURN_COORDINATION_REPLICARACE_H
+
+/**
+ * One request at the replicas of one service: the first send, a hedge when
+ * the answer is late, retries after failures, and what may be said of the
+ * request when none answered. A search runs one race for each shard; any
+ * other request is a single race. The race decides only; its owner sends.
+ *
+ * Load pattern: a third of the searches meets a replica that pauses for
+ * longer than the latency objective allows. A hedge at the usual latency's
+ * upper quantile saves them, and the budget keeps hedges and retries from
+ * multiplying the load when all replicas are slow.
+ */
+
+#include "coordination/TargetRegistry.h"
+#include "state/Ids.h"
+#include "state/RoutingConfig.h"
+#include "state/Verdict.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace figturn {
+
+/** Why a call is sent. */
+enum class SendKind { First, Hedge, Retry };
+
+/** "first", "hedge" or "retry", for logs. */
+std::string_view sendKindName(SendKind Kind);
+
+/** A call to send now. */
+struct RaceSend {
+  TargetPtr m_Target;
+  SendKind m_Kind = SendKind::First;
+};
+
+/** Placement and budget as a race sees them. */
+class RaceWorld {
+public:
+  virtual ~RaceWorld() = default;
+  /** The target for a call, or null if none may be used now. */
+  virtual TargetPtr choose(const ServiceName &Service, RouteKind Kind,
+                           const std::vector<TargetPtr> &Tried,
+                           TimePoint Now) = 0;
+  /** Takes the right to send one call beyond the first. */
+  virtual bool takeExtraCall(const ServiceName &Service, SendKind Kind) = 0;
+  /** Gives that right back: the call was not sent. */
+  virtual void returnExtraCall(const ServiceName &Service) = 0;
+};
+
+/** What a race has to keep to. */
+struct RaceOptions {
+  ServiceName m_Service;
+  RouteKind m_Kind = RouteKind::Idempotent;
+  std::uint32_t m_MaxSends = 1;
+  TimePoint m_HedgeAt = TimePoint::max(); ///< Never for single runs.
+  TimePoint m_LastSendAt = TimePoint::max(); ///< A later call can't end.
+};
+
+/** The race. Not thread-safe. */
+class ReplicaRace {
+public:
+  explicit ReplicaRace(RaceOptions Options) : m_Options(std::move(Options)) {}
+
+  /** Begins; no send means that the race is over. */
+  std::optional<RaceSend> start(RaceWorld &World, TimePoint Now);
+  /** The call to \p From ended so. Answered wins the race. */
+  std::optional<RaceSend> onOutcome(const TargetPtr &From, CallOutcome Outcome,
+                                    RaceWorld &World, TimePoint Now);
+  /** The hedge's time came. */
+  std::optional<RaceSend> onHedgeTime(RaceWorld &World, TimePoint Now);
+  /** When a hedge is due; none if none is. */
+  std::optional<TimePoint> hedgeTime() const;
+
+  bool isOver() const { return m_Won || m_Lost; }
+  bool isWon() const { return m_Won; }
+  /** Whether the request may have run at a target; certain once over. */
+  RunVerdict verdict() const { return m_Verdict; }
+  /** Why the race was lost. */
+  std::error_code reason() const { return m_Reason; }
+  /** Calls sent whose end is not known. */
+  std::uint32_t outstanding() const { return m_Outstanding; }
+  const std::vector<TargetPtr> &tried() const { return m_Tried; }
+
+private:
+  /** Attempts that reach no target are free, yet not without end. */
+  static constexpr std::uint32_t MaxUnsent = 3;
+
+  std::optional<RaceSend> send(SendKind Kind, RaceWorld &World, TimePoint Now);
+  std::optional<RaceSend> retry(bool IsPaid, RaceWorld &World, TimePoint Now);
+  void lose(std::error_code Why);
+
+  RaceOptions m_Options;
+  std::vector<TargetPtr> m_Tried;
+  std::uint32_t m_Sends = 0; ///< Calls that count against the limit.
+  std::uint32_t m_Unsent = 0;
+  std::uint32_t m_Outstanding = 0;
+  bool m_Hedged = false;
+  bool m_Won = false;
+  bool m_Lost = false;
+  RunVerdict m_Verdict = RunVerdict::NotRun;
+  std::error_code m_Reason;
+};
+
+} // namespace figturn
+
+#endif // FIGTURN_COORDINATION_REPLICARACE_H
--- /dev/null
+++ b/src/coordination/TargetChooser.cpp
@@ -0,0 +1,73 @@
+#include "coordination/TargetChooser.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace figturn {
+
+namespace {
+
+/** A target that fails nearly always costs at most this many times more. */
+constexpr double LeastSuccessShare = 0.05;
+
+} // namespace
+
+bool TargetChooser::isUsable(const ChoiceQuery &Query,
+                         const TargetPtr &Candidate, TimePoint Now) {
+  const TargetLoad &Load = Candidate->m_Load;
+  if (Candidate->m_Entry.m_Draining ||
+      !Query.m_IsOpen(Candidate->m_Entry.m_DataCentre))
+    return false;
+  if (std::find(Query.m_Tried.begin(), Query.m_Tried.end(), Candidate) !=
+      Query.m_Tried.end())
+    return false;
+  // One trial at a time shows whether an unreachable target is back.
+  return !Load.isUnderTrial() ||
+         (Load.outstanding() == 0 && !Load.isAvoided(Now));
+}
+
+bool TargetChooser::hasUsable(const ChoiceQuery &Query, TimePoint Now) {
+  return std::any_of(Query.m_Candidates.begin(), Query.m_Candidates.end(),
+                     [&](const TargetPtr &Candidate) {
+                       return isUsable(Query, Candidate, Now);
+                     });
+}
+
+double TargetChooser::cost(const ChoiceQuery &Query, const Target &Candidate,
+                       TimePoint Now) {
+  const TargetLoad &Load = Candidate.m_Load;
+  const double Slots = std::max(1U, Candidate.m_Entry.m_Slots);
+  const double Success =
+      std::max(LeastSuccessShare, 1 - Load.failureShare(Now));
+  double Cost = Load.slowness(Now) * (1 + Load.outstanding() / Slots) /
+                (Success * Success);
+  if (Candidate.m_Entry.m_DataCentre != Query.m_Home)
+    Cost += m_Costs.m_OtherDataCentre;
+  if (Load.isOverdue(Now))
+    Cost += m_Costs.m_Overdue;
+  if (Candidate.isCold(Now))
+    Cost += m_Costs.m_Cold;
+  if (Candidate.m_MissingSince)
+    Cost += m_Costs.m_Missing;
+  if (Query.m_SingleRun && Load.isUnderTrial())
+    Cost += m_Costs.m_TrialOfSingleRun;
+  std::uniform_real_distribution<double> Jitter(0, m_Costs.m_Jitter);
+  return Cost + Jitter(m_Random);
+}
+
+TargetPtr TargetChooser::choose(const ChoiceQuery &Query, TimePoint Now) {
+  std::vector<std::pair<double, TargetPtr>> Ranked;
+  for (const TargetPtr &Candidate : Query.m_Candidates)
+    if (isUsable(Query, Candidate, Now))
+      Ranked.emplace_back(cost(Query, *Candidate, Now), Candidate);
+  std::sort(
+      Ranked.begin(), Ranked.end(),
+      [](const auto &Left, const auto &Right) { return Left.first < Right.first; });
+  for (const auto &[Cost, Candidate] : Ranked)
+    if (!Candidate->isCold(Now) || Query.m_TakeColdRight(*Candidate))
+      return Candidate;
+  return nullptr;
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/coordination/TargetRegistry.cpp
@@ -0,0 +1,118 @@
+#include "coordination/TargetRegistry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figturn {
+
+RegistryChange TargetRegistry::replaceAll(std::vector<TargetEntry> Entries,
+                                          TimePoint Now) {
+  RegistryChange Change;
+  std::set<TargetName> Listed;
+  for (TargetEntry &Entry : Entries) {
+    Listed.insert(Entry.m_Instance.m_Name);
+    put(std::move(Entry), Change);
+  }
+  std::vector<TargetPtr> Lost;
+  for (const auto &[Name, Known] : m_ByName)
+    if (!Listed.contains(Name))
+      Lost.push_back(Known);
+  for (const TargetPtr &Each : Lost)
+    markMissing(Each, Now, Change);
+  return Change;
+}
+
+RegistryChange TargetRegistry::upsert(TargetEntry Entry, TimePoint) {
+  RegistryChange Change;
+  put(std::move(Entry), Change);
+  return Change;
+}
+
+RegistryChange TargetRegistry::remove(const TargetName &Name, TimePoint Now) {
+  RegistryChange Change;
+  if (const auto Found = m_ByName.find(Name); Found != m_ByName.end())
+    markMissing(TargetPtr(Found->second), Now, Change);
+  return Change;
+}
+
+RegistryChange TargetRegistry::expire(TimePoint Now) {
+  RegistryChange Change;
+  for (const auto &[Name, Known] : m_ByName)
+    if (Known->m_MissingSince &&
+        Now - *Known->m_MissingSince >= m_Options.m_MissingHold)
+      Change.m_Gone.push_back(Known);
+  for (const TargetPtr &Each : Change.m_Gone)
+    drop(Each);
+  return Change;
+}
+
+std::optional<TimePoint> TargetRegistry::nextExpiry() const {
+  std::optional<TimePoint> Next;
+  for (const auto &[Name, Known] : m_ByName)
+    if (Known->m_MissingSince)
+      Next = std::min(Next.value_or(TimePoint::max()),
+                      *Known->m_MissingSince + m_Options.m_MissingHold);
+  return Next;
+}
+
+std::span<const TargetPtr>
+TargetRegistry::targets(const ServiceName &Service) const {
+  const auto Found = m_ByService.find(Service);
+  if (Found == m_ByService.end())
+    return {};
+  return Found->second;
+}
+
+void TargetRegistry::setEvacuated(std::set<DataCentreName> Evacuated) {
+  m_Evacuated = std::move(Evacuated);
+}
+
+void TargetRegistry::put(TargetEntry Entry, RegistryChange &Change) {
+  const auto Found = m_ByName.find(Entry.m_Instance.m_Name);
+  if (Found != m_ByName.end()) {
+    const TargetPtr Known = Found->second;
+    const TargetEntry &Old = Known->m_Entry;
+    // An earlier start's entry that comes late says nothing of this one.
+    if (Entry.m_Instance.m_StartedMs < Old.m_Instance.m_StartedMs)
+      return;
+    const bool IsSameProcess = Entry.m_Instance == Old.m_Instance &&
+                               Entry.m_Host == Old.m_Host &&
+                               Entry.m_Port == Old.m_Port &&
+                               Entry.m_Service == Old.m_Service;
+    if (IsSameProcess) {
+      const bool IsNews = !(Entry == Old) || Known->m_MissingSince;
+      Known->m_Entry = std::move(Entry);
+      Known->m_MissingSince.reset();
+      Change.m_Updated += IsNews ? 1 : 0;
+      return;
+    }
+    drop(Known);
+    Change.m_Restarted.push_back(Known);
+  }
+  auto New = std::make_shared<Target>();
+  New->m_Entry = std::move(Entry);
+  m_ByName[New->m_Entry.m_Instance.m_Name] = New;
+  m_ByService[New->m_Entry.m_Service].push_back(New);
+  ++Change.m_Added;
+}
+
+void TargetRegistry::markMissing(const TargetPtr &Lost, TimePoint Now,
+                                 RegistryChange &Change) {
+  if (Lost->m_Entry.m_Draining) {
+    drop(Lost);
+    Change.m_Gone.push_back(Lost);
+    return;
+  }
+  if (Lost->m_MissingSince)
+    return;
+  Lost->m_MissingSince = Now;
+  Change.m_Missing.push_back(Lost);
+}
+
+void TargetRegistry::drop(const TargetPtr &Old) {
+  const TargetPtr Kept = Old; // The argument may be one of the table's own.
+  m_ByName.erase(Kept->m_Entry.m_Instance.m_Name);
+  std::erase(m_ByService[Kept->m_Entry.m_Service], Kept);
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/node/RoutedMetrics.cpp
@@ -0,0 +1,120 @@
+#include "node/RoutedMetrics.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figturn {
+
+std::string_view callOutcomeName(CallOutcome Outcome) {
+  switch (Outcome) {
+  case CallOutcome::Answered:
+    return "answered";
+  case CallOutcome::Failed:
+    return "failed";
+  case CallOutcome::Refused:
+    return "refused";
+  case CallOutcome::Misdirected:
+    return "misdirected";
+  case CallOutcome::NotSent:
+    return "not-sent";
+  case CallOutcome::Lost:
+    return "lost";
+  case CallOutcome::Unanswered:
+    return "unanswered";
+  case CallOutcome::Abandoned:
+    return "abandoned";
+  }
+  return "";
+}
+
+void LatencyHistogram::record(Duration Latency) {
+  const auto Millis =
+      std::chrono::duration_cast<milliseconds>(Latency).count();
+  const auto Bucket = static_cast<std::size_t>(
+      std::lower_bound(BoundsMs.begin(), BoundsMs.end(), Millis) -
+      BoundsMs.begin());
+  ++m_Counts[Bucket];
+  m_SumSeconds += std::chrono::duration<double>(Latency).count();
+}
+
+std::string LatencyHistogram::text(const std::string &Name,
+                                   const std::string &Labels) const {
+  std::string Out;
+  std::uint64_t Sum = 0;
+  for (std::size_t I = 0; I < m_Counts.size(); ++I) {
+    Sum += m_Counts[I];
+    const std::string Bound =
+        I < BoundsMs.size()
+            ? fmt::format("{:g}", static_cast<double>(BoundsMs[I]) / 1000)
+            : "+Inf";
+    Out += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", Name, Labels, Bound,
+                       Sum);
+  }
+  Out += fmt::format("{}_sum{{{}}} {:.6f}\n{}_count{{{}}} {}\n", Name, Labels,
+                     m_SumSeconds, Name, Labels, Sum);
+  return Out;
+}
+
+void RoutedMetrics::addAnswer(const std::string &Route, Duration Latency,
+                              std::size_t Asked, std::size_t Answered) {
+  RouteCounters &Counters = m_Routes[Route];
+  ++Counters.m_Answers;
+  Counters.m_PartialAnswers += Answered < Asked ? 1 : 0;
+  Counters.m_ShardsAsked += Asked;
+  Counters.m_ShardsAnswered += Answered;
+  Counters.m_Latency.record(Latency);
+}
+
+void RoutedMetrics::addRefusal(const std::string &Route,
+                               std::error_code Reason) {
+  ++m_Routes[Route].m_Refusals[Reason.message()];
+}
+
+void RoutedMetrics::addExtraCall(const ServiceName &Service, SendKind Kind,
+                                 bool Allowed) {
+  CallCounters &Counters = m_Calls[Service];
+  if (!Allowed)
+    ++Counters.m_OverBudget;
+  else if (Kind == SendKind::Hedge)
+    ++Counters.m_Hedges;
+  else
+    ++Counters.m_Retries;
+}
+
+void RoutedMetrics::addOutcome(const ServiceName &Service,
+                               CallOutcome Outcome) {
+  ++m_Calls[Service].m_Outcomes[std::string(callOutcomeName(Outcome))];
+}
+
+std::string RoutedMetrics::text() const {
+  std::string Out;
+  const auto Add = [&Out](std::string_view Name, const std::string &Labels,
+                          std::uint64_t Value) {
+    Out += fmt::format("figturn_{}{{{}}} {}\n", Name, Labels, Value);
+  };
+  for (const auto &[Name, Route] : m_Routes) {
+    const std::string Labels = fmt::format("route=\"{}\"", Name);
+    Add("requests_total", Labels, Route.m_Requests);
+    Add("answers_total", Labels, Route.m_Answers);
+    Add("partial_answers_total", Labels, Route.m_PartialAnswers);
+    Add("shards_asked_total", Labels, Route.m_ShardsAsked);
+    Add("shards_answered_total", Labels, Route.m_ShardsAnswered);
+    for (const auto &[Reason, Count] : Route.m_Refusals)
+      Add("refusals_total", fmt::format("{},reason=\"{}\"", Labels, Reason),
+          Count);
+    Out += Route.m_Latency.text("figturn_answer_seconds", Labels);
+  }
+  for (const auto &[Name, Calls] : m_Calls) {
+    const std::string Labels = fmt::format("service=\"{}\"", Name);
+    Add("calls_total", Labels, Calls.m_Calls);
+    Add("hedges_total", Labels, Calls.m_Hedges);
+    Add("retries_total", Labels, Calls.m_Retries);
+    Add("extra_calls_over_budget_total", Labels, Calls.m_OverBudget);
+    for (const auto &[Outcome, Count] : Calls.m_Outcomes)
+      Add("call_outcomes_total",
+          fmt::format("{},outcome=\"{}\"", Labels, Outcome), Count);
+  }
+  return Out;
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/node/RoutedMetrics.h
@@ -0,0 +1,83 @@
+#ifndef FIGTURN_NODE_ROUTEDMETRICS_H
+#define FIGTURN_NODE_ROUTEDMETRICS_H
+
+/**
+ * Counters of the routed door by route and service, as the metrics address
+ * shows them. Kept apart from Metrics, whose counts are those of figturn's
+ * own caller API.
+ */
+
+#include "coordination/ReplicaRace.h"
+#include "state/Ids.h"
+#include "state/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <system_error>
+
+namespace figturn {
+
+/** Histogram of latencies with fixed bounds. */
+class LatencyHistogram {
+public:
+  /** Upper bounds of the buckets in milliseconds; the last has none. */
+  static constexpr std::array<std::int64_t, 12> BoundsMs = {
+      2, 5, 10, 20, 40, 60, 100, 150, 250, 500, 1000, 4000};
+
+  void record(Duration Latency);
+  /** Lines of \p Name with \p Labels in the text format of scrapers. */
+  std::string text(const std::string &Name, const std::string &Labels) const;
+
+private:
+  std::array<std::uint64_t, BoundsMs.size() + 1> m_Counts{};
+  double m_SumSeconds = 0;
+};
+
+/** Counts of one route. */
+struct RouteCounters {
+  std::uint64_t m_Requests = 0;
+  std::uint64_t m_Answers = 0;
+  std::uint64_t m_PartialAnswers = 0;
+  std::uint64_t m_ShardsAsked = 0;
+  std::uint64_t m_ShardsAnswered = 0;
+  std::map<std::string, std::uint64_t> m_Refusals; ///< By reason.
+  LatencyHistogram m_Latency;
+};
+
+/** Counts of one service's calls. */
+struct CallCounters {
+  std::uint64_t m_Calls = 0;
+  std::uint64_t m_Hedges = 0;
+  std::uint64_t m_Retries = 0;
+  std::uint64_t m_OverBudget = 0; ///< Extra calls that were not allowed.
+  std::map<std::string, std::uint64_t> m_Outcomes;
+};
+
+/** The counters; used by one worker. */
+class RoutedMetrics {
+public:
+  void addRequest(const std::string &Route) { ++m_Routes[Route].m_Requests; }
+  void addAnswer(const std::string &Route, Duration Latency, std::size_t Asked,
+                 std::size_t Answered);
+  void addRefusal(const std::string &Route, std::error_code Reason);
+  void addCall(const ServiceName &Service) { ++m_Calls[Service].m_Calls; }
+  void addExtraCall(const ServiceName &Service, SendKind Kind, bool Allowed);
+  void addOutcome(const ServiceName &Service, CallOutcome Outcome);
+
+  /** All counters in the text format of scrapers. */
+  std::string text() const;
+
+private:
+  std::map<std::string, RouteCounters> m_Routes;
+  std::map<ServiceName, CallCounters> m_Calls;
+};
+
+/** The name of \p Outcome in logs and metrics, for example "lost". */
+std::string_view callOutcomeName(CallOutcome Outcome);
+
+} // namespace figturn
+
+#endif // FIGTURN_NODE_ROUTEDMETRICS_H
--- /dev/null
+++ b/src/node/RoutedNode.h
@@ -0,0 +1,107 @@
+#ifndef FIGTURN_NODE_ROUTEDNODE_H
+#define FIGTURN_NODE_ROUTEDNODE_H
+
+/**
+ * One entry VM with the routed door: puts the parts together, starts them,
+ * and runs the planned stop. All of it lives on a single worker; the thread
+ * that made the node only waits for signals, so that a request is served
+ * without a change of threads.
+ */
+
+#include "coordination/DrainSequence.h"
+#include "coordination/FleetView.h"
+#include "node/GossipSocket.h"
+#include "node/PlatformLink.h"
+#include "node/RoutedDoor.h"
+#include "node/RoutedWorld.h"
+#include "protocol/RoutedSettings.h"
+#include "transport/HttpFetcher.h"
+#include "transport/HttpServer.h"
+#include "transport/WorkerPool.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace figturn {
+
+/** What the adapter to the platform gives a routed VM. */
+struct PlatformBinding {
+  RoutedHeaders m_Headers;
+  std::unique_ptr<PlatformLink> m_Link;
+  /** Answers a request at the readiness address. */
+  std::function<HttpResponse(const HttpRequest &, bool IsReady)> m_Readiness;
+  /** Answers a request at the directory address; \p Addresses are those of
+   *  the VMs that callers may use. */
+  std::function<HttpResponse(const HttpRequest &,
+                             const std::vector<std::string> &Addresses)>
+      m_Directory;
+};
+
+/** The VM. Made and used on its worker. */
+class RoutedNode final : public PlatformListener {
+public:
+  RoutedNode(const RoutedSettings &Settings, PlatformBinding Platform,
+             WorkerPool &Worker, std::uint32_t Seed);
+  ~RoutedNode() override;
+
+  /** Listens and starts; an error names an address that can't be used. */
+  std::error_code start();
+  /** Begins the planned stop; \p OnStopped runs once nothing is left. */
+  void stop(std::function<void()> OnStopped);
+  /** Takes settings that changed; those of addresses need a restart. */
+  void reload(const RoutedSettings &Settings);
+
+  void onConfig(RoutingConfigPtr Config) override;
+  void onTargets(std::vector<TargetEntry> Entries) override;
+  void onTarget(TargetEntry Entry) override;
+  void onTargetRemoved(const TargetName &Name) override;
+  void onEvacuations(std::set<DataCentreName> Evacuated) override;
+  void onVmAddresses(const std::vector<std::string> &Addresses) override;
+
+private:
+  using ServerPtr = std::unique_ptr<HttpServer>;
+
+  ServerPtr makeServer(const std::string &Address, HttpHandler Handler);
+  bool isReady() const;
+  void applyChange(const RegistryChange &Change, std::string_view Cause);
+  void onFleetChange();
+  void copyStateFromPeer(TimePoint Now);
+  void onTick();
+  void advanceDrain();
+  HttpResponse serveControl(const HttpRequest &Request);
+  HttpResponse serveDirectory(const HttpRequest &Request);
+  std::string statusText() const;
+  std::string metricsText() const;
+
+  RoutedSettings m_Settings;
+  PlatformBinding m_Platform;
+  WorkerPool &m_Worker;
+  FleetView m_Fleet;
+  RoutedWorld m_World;
+  RoutedDoor m_Door;
+  GossipSocket m_Gossip;
+  ServerPtr m_Callers;
+  ServerPtr m_Readiness;
+  ServerPtr m_Directory;
+  ServerPtr m_Control;
+  ServerPtr m_Metrics;
+  std::unique_ptr<HttpFetcher> m_Copies;
+  bool m_HasTargets = false;
+  bool m_WasReady = false;
+  bool m_CopyUnderWay = false;
+  TimePoint m_StartedAt;
+  TimePoint m_NextCopyAt;
+  TimePoint m_NextVmRefreshAt;
+  TimePoint m_LastTickAt;
+  std::size_t m_SharerCount = 0;
+  Duration m_LargestLag{};
+  DrainSequence m_Drain;
+  QTimer m_Tick;
+  std::function<void()> m_OnStopped;
+};
+
+} // namespace figturn
+
+#endif // FIGTURN_NODE_ROUTEDNODE_H
--- /dev/null
+++ b/src/node/RoutedWorld.cpp
@@ -0,0 +1,124 @@
+#include "node/RoutedWorld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figturn {
+
+namespace {
+
+/** Part of the fleet's extra calls that the VMs share out; the rest covers
+ *  calls that arrive in another window than they were counted in. */
+constexpr double ShareableExtraCalls = 0.85;
+
+/** Part of what a cold target bears that the VMs share out. */
+constexpr double ShareableColdRequests = 0.8;
+
+} // namespace
+
+RoutedWorld::RoutedWorld(const RoutedSettings &Settings, RoutedHeaders Headers,
+                         FleetView &Fleet, std::uint32_t Seed)
+    : m_Settings(Settings), m_Headers(std::move(Headers)), m_Fleet(Fleet),
+      m_Links(m_Headers.m_RequestId), m_Chooser(ChoiceCosts{}, Seed),
+      m_ColdQuota(Settings.m_Vm), m_Advice(RetryAdviceOptions{}, Seed),
+      m_Sharers{Settings.m_Vm} {}
+
+ChoiceQuery RoutedWorld::query(const ServiceName &Service, RouteKind Kind,
+                               const std::vector<TargetPtr> &Tried,
+                               TimePoint) const {
+  return {.m_Candidates = m_Registry.targets(Service),
+          .m_Tried = Tried,
+          .m_Home = m_Settings.m_DataCentre,
+          .m_SingleRun = Kind == RouteKind::SingleRun,
+          .m_IsOpen =
+              [this](const DataCentreName &DataCentre) {
+                return !m_Registry.isEvacuated(DataCentre);
+              },
+          .m_TakeColdRight = [](const Target &) { return false; }};
+}
+
+TargetPtr RoutedWorld::choose(const ServiceName &Service, RouteKind Kind,
+                              const std::vector<TargetPtr> &Tried,
+                              TimePoint Now) {
+  ChoiceQuery Query = query(Service, Kind, Tried, Now);
+  Query.m_TakeColdRight = [this, Now](const Target &Cold) {
+    return takeColdRight(Cold, Now);
+  };
+  return m_Chooser.choose(Query, Now);
+}
+
+bool RoutedWorld::takeColdRight(const Target &Cold, TimePoint Now) {
+  const double Rate =
+      m_Config->policy(Cold.m_Entry.m_Service).m_ColdRequestsPerSecond;
+  const ColdAllowance Allowance{
+      .m_RequestsPerSecond =
+          ShareableColdRequests *
+          (Rate * m_Settings.m_ColdMultiplier + m_Settings.m_ColdSlack)};
+  const TargetName &Name = Cold.m_Entry.m_Instance.m_Name;
+  return m_ColdQuota.tryTake(
+      Name, m_ColdQuota.share(Name, Allowance, m_Sharers), Now);
+}
+
+ExtraLoadBudget &RoutedWorld::budget(const ServiceName &Service) {
+  return m_Budgets
+      .try_emplace(Service, ShareableExtraCalls * m_Settings.m_RetryRatio,
+                   m_Burst, m_Burst / 2)
+      .first->second;
+}
+
+bool RoutedWorld::takeExtraCall(const ServiceName &Service, SendKind Kind) {
+  const bool Taken = budget(Service).trySpend();
+  m_Metrics.addExtraCall(Service, Kind, Taken);
+  return Taken;
+}
+
+void RoutedWorld::returnExtraCall(const ServiceName &Service) {
+  budget(Service).refund();
+}
+
+bool RoutedWorld::isServable(const ServiceName &Service, TimePoint Now) const {
+  return TargetChooser::hasUsable(
+      query(Service, RouteKind::Idempotent, {}, Now), Now);
+}
+
+void RoutedWorld::earnExtraCalls(const ServiceName &Service) {
+  budget(Service).earn(1);
+}
+
+HedgeTimer &RoutedWorld::hedgeTimer(const Route &On) {
+  return m_HedgeTimers
+      .try_emplace(On.m_Name, HedgeOptions{}, On.m_LatencyObjective)
+      .first->second;
+}
+
+void RoutedWorld::setConfig(RoutingConfigPtr Config, TimePoint Now) {
+  m_Config = std::move(Config);
+  std::set<std::string> Names;
+  for (const Route &Each : m_Config->routes())
+    Names.insert(Each.m_Name);
+  const auto IsUnknown = [&](const auto &Entry) {
+    return !Names.contains(Entry.first);
+  };
+  std::erase_if(m_HedgeTimers, IsUnknown);
+  std::erase_if(m_Rotations, IsUnknown);
+  updateShares(Now);
+}
+
+void RoutedWorld::setSettings(const RoutedSettings &Settings, TimePoint Now) {
+  m_Settings = Settings;
+  for (auto &[Service, Budget] : m_Budgets)
+    Budget.setShare(ShareableExtraCalls * m_Settings.m_RetryRatio);
+  updateShares(Now);
+}
+
+void RoutedWorld::updateShares(TimePoint Now) {
+  m_Sharers = m_Fleet.sharers(Now);
+  m_Burst = std::max(1.0, ShareableExtraCalls * m_Settings.m_RetrySlack /
+                              static_cast<double>(m_Sharers.size()));
+  for (auto &[Service, Budget] : m_Budgets)
+    Budget.setBurst(m_Burst);
+  if (m_Config)
+    m_Links.setShares(*m_Config, m_Sharers.size());
+}
+
+} // namespace figturn
--- a/src/protocol/ConfigSchema.cpp
+++ b/src/protocol/ConfigSchema.cpp
@@ -134,6 +134,8 @@
     return "IP number";
   case FieldKind::Address:
     return "IP:port";
+  case FieldKind::AddressList:
+    return "IP:port, with commas";
   case FieldKind::HttpUrl:
     return "http URL";
   case FieldKind::Placement:
--- a/src/protocol/FieldRule.cpp
+++ b/src/protocol/FieldRule.cpp
@@ -35,6 +35,11 @@
   return IsNumber && Port >= 1 && Port <= HighestPort && isIpNumber(Host);
 }
 
+bool isAddressList(const QString &Text) {
+  const QStringList Parts = Text.split(',', Qt::SkipEmptyParts);
+  return std::all_of(Parts.begin(), Parts.end(), isAddress);
+}
+
 bool isHttpUrl(const QString &Text) {
   const QUrl Url(Text, QUrl::StrictMode);
   return Url.isValid() && Url.scheme() == "http" && !Url.host().isEmpty() &&
@@ -80,6 +85,9 @@
     return "an IP number such as \"127.0.0.1\"";
   case FieldKind::Address:
     return "an IP number and port such as \"127.0.0.1:8001\"";
+  case FieldKind::AddressList:
+    return "IP numbers and ports with commas between them, such as "
+           "\"10.0.0.1:8001,10.0.0.2:8001\"";
   case FieldKind::HttpUrl:
     return "an http URL without a trailing slash, such as "
            "\"http://127.0.0.1:7000\"";
@@ -103,6 +111,8 @@
     return isIpNumber(Text);
   case FieldKind::Address:
     return isAddress(Text);
+  case FieldKind::AddressList:
+    return Value.isString() && isAddressList(Text);
   case FieldKind::HttpUrl:
     return isHttpUrl(Text);
   case FieldKind::Placement:
--- a/src/protocol/FieldRule.h
+++ b/src/protocol/FieldRule.h
@@ -31,6 +31,7 @@
   Name,         ///< Letters, digits, '-' and '_', up to 64 of them.
   IpNumber,     ///< IPv4 or IPv6.
   Address,      ///< IP number and port, "127.0.0.1:8001".
+  AddressList,  ///< Addresses with commas between them; may be empty.
   HttpUrl,      ///< http URL without a trailing slash.
   Placement     ///< "in" or "out".
 };
--- /dev/null
+++ b/src/protocol/Gossip.capnp
@@ -0,0 +1,23 @@
+@0xd6a1c05b7e3f9248;
+# What entry VMs tell one another in datagrams. The generated code is
+# committed; regenerate it with tools/generate-rpc after a change. Fields are
+# only ever added.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("figturn::rpc");
+
+struct GossipVm {
+  name @0 :Text;
+  startedMs @1 :Int64;
+  beat @2 :UInt64;
+  phase @3 :UInt8;
+  dataCentre @4 :Text;
+  callerAddress @5 :Text;
+  gossipAddress @6 :Text;
+  stateAddress @7 :Text;
+  configVersion @8 :UInt64;
+}
+
+struct Gossip {
+  vms @0 :List(GossipVm);
+}
--- /dev/null
+++ b/src/protocol/GossipCodec.cpp
@@ -0,0 +1,83 @@
+#include "protocol/GossipCodec.h"
+
+#include "protocol/generated/Gossip.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <utility>
+
+namespace figturn {
+
+namespace {
+
+/** Bound on what one datagram may unpack to, in words of 8 bytes. */
+constexpr std::uint64_t MostWords = 65536;
+
+std::string text(capnp::Text::Reader From) {
+  return {From.cStr(), From.size()};
+}
+
+VmPhase phase(std::uint8_t Number) {
+  return Number <= static_cast<std::uint8_t>(VmPhase::Stopping)
+             ? static_cast<VmPhase>(Number)
+             : VmPhase::Starting;
+}
+
+void encodeVm(const VmRecord &From, rpc::GossipVm::Builder To) {
+  To.setName(From.m_Vm.value());
+  To.setStartedMs(From.m_StartedMs);
+  To.setBeat(From.m_Beat);
+  To.setPhase(static_cast<std::uint8_t>(From.m_Phase));
+  To.setDataCentre(From.m_DataCentre.value());
+  To.setCallerAddress(From.m_CallerAddress);
+  To.setGossipAddress(From.m_GossipAddress);
+  To.setStateAddress(From.m_StateAddress);
+  To.setConfigVersion(From.m_ConfigVersion);
+}
+
+VmRecord decodeVm(rpc::GossipVm::Reader From) {
+  return {.m_Vm = VmName(text(From.getName())),
+          .m_StartedMs = From.getStartedMs(),
+          .m_Beat = From.getBeat(),
+          .m_Phase = phase(From.getPhase()),
+          .m_DataCentre = DataCentreName(text(From.getDataCentre())),
+          .m_CallerAddress = text(From.getCallerAddress()),
+          .m_GossipAddress = text(From.getGossipAddress()),
+          .m_StateAddress = text(From.getStateAddress()),
+          .m_ConfigVersion = From.getConfigVersion()};
+}
+
+} // namespace
+
+std::string encodeGossip(const std::vector<VmRecord> &Records) {
+  capnp::MallocMessageBuilder Message;
+  auto List = Message.initRoot<rpc::Gossip>().initVms(
+      static_cast<unsigned>(Records.size()));
+  for (unsigned I = 0; I < List.size(); ++I)
+    encodeVm(Records[I], List[I]);
+  kj::VectorOutputStream Out;
+  capnp::writePackedMessage(Out, Message);
+  const auto Bytes = Out.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+std::optional<std::vector<VmRecord>> decodeGossip(std::string_view Bytes) {
+  std::vector<VmRecord> Records;
+  const auto Failure = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream In(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
+    capnp::ReaderOptions Options;
+    Options.traversalLimitInWords = MostWords;
+    capnp::PackedMessageReader Message(In, Options);
+    for (const auto Vm : Message.getRoot<rpc::Gossip>().getVms())
+      Records.push_back(decodeVm(Vm));
+  });
+  if (Failure != nullptr || Records.empty())
+    return std::nullopt;
+  return Records;
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/protocol/RoutedProtocol.cpp
@@ -0,0 +1,173 @@
+#include "protocol/RoutedProtocol.h"
+
+#include "protocol/JsonConvert.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace figturn {
+
+namespace {
+
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned FirstServerError = 500;
+
+bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
+
+/** Deadlines beyond this are taken for unreadable. */
+constexpr std::int64_t LongestDeadlineMs = 86400000;
+
+std::optional<milliseconds> readMilliseconds(const std::string &Text) {
+  std::int64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Value < 0 || Value > LongestDeadlineMs)
+    return std::nullopt;
+  // A fraction is cut off: the sender waits for at least the whole part.
+  if (Parsed.ptr != End && *Parsed.ptr != '.')
+    return std::nullopt;
+  return milliseconds(Value);
+}
+
+/** Whether \p Name is one of the comma-separated tokens of \p List. */
+bool hasToken(std::string_view List, std::string_view Name) {
+  while (!List.empty()) {
+    const std::size_t Comma = std::min(List.find(','), List.size());
+    std::string_view Token = List.substr(0, Comma);
+    while (!Token.empty() && (Token.front() == ' ' || Token.front() == '\t'))
+      Token.remove_prefix(1);
+    while (!Token.empty() && (Token.back() == ' ' || Token.back() == '\t'))
+      Token.remove_suffix(1);
+    if (sameHeaderName(Token, Name))
+      return true;
+    List.remove_prefix(std::min(Comma + 1, List.size()));
+  }
+  return false;
+}
+
+unsigned refusalStatus(const Refusal &Refused) {
+  if (Refused.m_Reason == Errc::UnknownRoute)
+    return StatusNotFound;
+  if (Refused.m_Verdict == RunVerdict::NotRun)
+    return StatusUnavailable;
+  return Refused.m_Reason == Errc::DeadlineExceeded ? StatusGatewayTimeout
+                                                    : StatusBadGateway;
+}
+
+} // namespace
+
+RoutedRequest readRoutedRequest(const HttpRequest &Request,
+                                const RoutedHeaders &Headers) {
+  return {.m_Id = Request.header(Headers.m_RequestId),
+          .m_Host = Request.header("Host"),
+          .m_Deadline = readMilliseconds(Request.header(Headers.m_DeadlineMs))};
+}
+
+std::string writeRoutedCall(const HttpRequest &Request,
+                            const TargetInstance &Target, milliseconds Left,
+                            const RoutedHeaders &Headers) {
+  std::string Bytes;
+  Bytes.reserve(512 + Request.m_Body.size());
+  const auto Append = [&Bytes](std::string_view Name, std::string_view Value) {
+    Bytes.append(Name).append(": ").append(Value).append("\r\n");
+  };
+  Bytes.append(Request.m_Method).append(" ").append(Request.m_Target);
+  Bytes.append(" HTTP/1.1\r\n");
+  // Headers that the sender's Connection header names are its own as well.
+  const std::string Own = Request.header("Connection");
+  for (const auto &[Name, Value] : Request.m_Headers) {
+    const bool IsReplaced = sameHeaderName(Name, Headers.m_DeadlineMs) ||
+                            sameHeaderName(Name, Headers.m_ExpectTarget);
+    if (!IsReplaced && !isConnectionHeader(Name) && !hasToken(Own, Name))
+      Append(Name, Value);
+  }
+  Append(Headers.m_DeadlineMs, fmt::format("{}", Left.count()));
+  Append(Headers.m_ExpectTarget, Target.m_Name.value());
+  const bool HadBody = !Request.m_Body.empty() ||
+                       !Request.header("Content-Length").empty() ||
+                       !Request.header("Transfer-Encoding").empty();
+  if (HadBody)
+    Append("Content-Length", fmt::format("{}", Request.m_Body.size()));
+  Bytes.append("\r\n").append(Request.m_Body);
+  return Bytes;
+}
+
+CallOutcome classifyReply(unsigned Status, const HttpHeaders &ReplyHeaders,
+                          const RoutedHeaders &Headers) {
+  if (Status == StatusMisdirected)
+    return CallOutcome::Misdirected;
+  if (!headerValue(ReplyHeaders, Headers.m_NotExecuted).empty())
+    return CallOutcome::Refused;
+  // A success without the target's signature, or in another encoding than was
+  // asked for, is not what the target's service wrote.
+  if (isSuccess(Status) &&
+      (headerValue(ReplyHeaders, Headers.m_TargetStamp).empty() ||
+       !headerValue(ReplyHeaders, "Content-Encoding").empty()))
+    return CallOutcome::Failed;
+  // These promise "not run", which only the header above may say.
+  if (Status == StatusTooManyRequests || Status == StatusRequestTimeout)
+    return CallOutcome::Failed;
+  return Status >= FirstServerError ? CallOutcome::Failed
+                                    : CallOutcome::Answered;
+}
+
+CallOutcome classifyPart(unsigned Status, const HttpHeaders &ReplyHeaders,
+                         const RoutedHeaders &Headers) {
+  const CallOutcome Outcome = classifyReply(Status, ReplyHeaders, Headers);
+  return Outcome == CallOutcome::Answered && !isSuccess(Status)
+             ? CallOutcome::Failed
+             : Outcome;
+}
+
+HttpResponse passReply(unsigned Status, const HttpHeaders &ReplyHeaders,
+                       std::string Body) {
+  HttpResponse Response{.m_Status = Status,
+                        .m_Body = std::move(Body),
+                        .m_ContentType = ""};
+  for (const auto &[Name, Value] : ReplyHeaders)
+    if (!isConnectionHeader(Name))
+      Response.m_Headers.emplace_back(Name, Value);
+  return Response;
+}
+
+HttpResponse searchResponse(std::string Records,
+                            const std::vector<std::string> &Stamps,
+                            std::size_t MissingShards,
+                            const std::string &RequestId,
+                            const RoutedHeaders &Headers) {
+  HttpResponse Response{.m_Body = std::move(Records),
+                        .m_ContentType = "application/octet-stream"};
+  Response.m_Headers = {
+      {Headers.m_RequestId, RequestId},
+      {Headers.m_PartStamps, fmt::format("{}", fmt::join(Stamps, ", "))},
+      {Headers.m_MissingShards, fmt::format("{}", MissingShards)}};
+  return Response;
+}
+
+HttpResponse refusalResponse(const Refusal &Refused,
+                             const std::string &RequestId,
+                             std::optional<milliseconds> RetryAfter,
+                             const RoutedHeaders &Headers) {
+  HttpResponse Response{.m_Status = refusalStatus(Refused)};
+  Response.m_Body = toCompactText(
+      {{"requestId", toQt(RequestId)},
+       {"verdict", toQt(verdictName(Refused.m_Verdict))},
+       {"reason", toQt(Refused.m_Reason.message())},
+       {"message", toQt(Refused.m_Sentence)}});
+  if (!RequestId.empty())
+    Response.m_Headers.emplace_back(Headers.m_RequestId, RequestId);
+  if (RetryAfter && Response.m_Status == StatusUnavailable)
+    Response.m_Headers.emplace_back(
+        "Retry-After",
+        fmt::format("{:.3f}", std::chrono::duration<double>(*RetryAfter).count()));
+  return Response;
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/protocol/RoutedSettings.cpp
@@ -0,0 +1,148 @@
+#include "protocol/RoutedSettings.h"
+
+#include "protocol/JsonText.h"
+#include "protocol/SettingsCodec.h"
+
+#include <fmt/format.h>
+
+namespace figturn {
+
+namespace {
+
+constexpr double MostSeconds = 3600;
+constexpr double MostRequests = 1e6;
+constexpr double MostDescriptors = 1e6;
+constexpr const char *RoutedDoor = "routed";
+
+using Rule = MemberRule<RoutedSettings>;
+
+constexpr FieldRule addressRule(std::string_view Key, std::string_view Meaning,
+                                bool Required = true) {
+  return {.m_Key = Key,
+          .m_Kind = FieldKind::Address,
+          .m_Required = Required,
+          .m_Meaning = Meaning};
+}
+
+constexpr FieldRule numberRule(std::string_view Key, double Most,
+                               std::string_view Meaning) {
+  return {.m_Key = Key,
+          .m_Kind = FieldKind::Share,
+          .m_Least = 0,
+          .m_Most = Most,
+          .m_Meaning = Meaning};
+}
+
+constexpr Rule Rules[] = {
+    {{.m_Key = "door",
+      .m_Kind = FieldKind::Name,
+      .m_Required = true,
+      .m_Meaning = "\"routed\": forward requests as the platform's "
+                   "configuration says."},
+     &RoutedSettings::m_Door},
+    {{.m_Key = "vm",
+      .m_Kind = FieldKind::Name,
+      .m_Required = true,
+      .m_Meaning = "Name of this VM, unique in the fleet."},
+     &RoutedSettings::m_Vm},
+    {{.m_Key = "dataCentre",
+      .m_Kind = FieldKind::Name,
+      .m_Required = true,
+      .m_Meaning = "Data centre in which this VM runs."},
+     &RoutedSettings::m_DataCentre},
+    {addressRule("callerAddress", "Where callers are served over HTTP."),
+     &RoutedSettings::m_CallerAddress},
+    {addressRule("readinessAddress", "Where readiness is answered."),
+     &RoutedSettings::m_ReadinessAddress},
+    {addressRule("directoryAddress", "Where callers ask which VMs to use."),
+     &RoutedSettings::m_DirectoryAddress},
+    {addressRule("controlAddress",
+                 "Where status and copies of the state are answered."),
+     &RoutedSettings::m_ControlAddress},
+    {addressRule("gossipAddress",
+                 "Where other VMs are heard over UDP; the port is the same on "
+                 "all VMs."),
+     &RoutedSettings::m_GossipAddress},
+    {addressRule("metricsAddress", "Where metrics are answered, at /metrics.",
+                 false),
+     &RoutedSettings::m_MetricsAddress},
+    {addressRule("storeAddress", "The platform's store."),
+     &RoutedSettings::m_StoreAddress},
+    {{.m_Key = "seeds",
+      .m_Kind = FieldKind::AddressList,
+      .m_Meaning = "Control addresses of some VMs, with commas between them."},
+     &RoutedSettings::m_Seeds},
+    {numberRule("graceSeconds", MostSeconds,
+                "From SIGTERM until the process is killed."),
+     &RoutedSettings::m_GraceSeconds},
+    {numberRule("retryRatio", 1,
+                "Hedges and retries of all VMs as a share of a service's "
+                "requests."),
+     &RoutedSettings::m_RetryRatio},
+    {numberRule("retrySlack", MostRequests,
+                "Hedges and retries of all VMs beyond that share, in 10 s."),
+     &RoutedSettings::m_RetrySlack},
+    {numberRule("coldMultiplier", MostRequests,
+                "A cold target gets at most its service's cold rate times "
+                "this from all VMs."),
+     &RoutedSettings::m_ColdMultiplier},
+    {numberRule("coldSlack", MostRequests,
+                "Requests a second that a cold target gets beyond that."),
+     &RoutedSettings::m_ColdSlack},
+    {numberRule("directoryTtlSeconds", MostSeconds,
+                "Longest time that callers keep the list of VMs."),
+     &RoutedSettings::m_DirectoryTtlSeconds},
+    {{.m_Key = "descriptors",
+      .m_Kind = FieldKind::Count,
+      .m_Least = 64,
+      .m_Most = MostDescriptors,
+      .m_Meaning = "File descriptors that the process may use."},
+     &RoutedSettings::m_Descriptors},
+};
+
+RoutedSettingsResult readFrom(const JsonText &Text) {
+  if (!Text.m_Problems.empty())
+    return {.m_Problems = Text.m_Problems};
+  JsonChecker Checker(Text.m_Origins);
+  RoutedSettingsResult Result;
+  Result.m_Settings = readRecord<RoutedSettings>(
+      Text.m_Object, "", routedSettingsRules(), Checker);
+  if (Text.m_Object.value("door").toString() != RoutedDoor)
+    Checker.report("door", Text.m_Object.value("door"), "\"routed\"");
+  Result.m_Problems = Checker.takeProblems();
+  return Result;
+}
+
+} // namespace
+
+std::span<const MemberRule<RoutedSettings>> routedSettingsRules() {
+  return Rules;
+}
+
+bool asksForRoutedDoor(const std::string &File) {
+  return readJsonFile(File).m_Object.contains("door");
+}
+
+RoutedSettingsResult parseRoutedSettings(std::string_view Text,
+                                         const std::string &File) {
+  return readFrom(parseJsonText(Text, File));
+}
+
+RoutedSettingsResult readRoutedSettings(const std::string &File) {
+  return readFrom(readJsonFile(File));
+}
+
+std::vector<std::string> seedGossipAddresses(const RoutedSettings &Settings) {
+  std::vector<std::string> Out;
+  const auto Own = parseSocketAddress(Settings.m_GossipAddress);
+  std::string_view Rest = Settings.m_Seeds;
+  while (Own && !Rest.empty()) {
+    const std::size_t Comma = std::min(Rest.find(','), Rest.size());
+    if (const auto Seed = parseSocketAddress(Rest.substr(0, Comma)))
+      Out.push_back(fmt::format("{}:{}", Seed->m_Host, Own->m_Port));
+    Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+  }
+  return Out;
+}
+
+} // namespace figturn
--- a/src/state/Errc.cpp
+++ b/src/state/Errc.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 33> ErrcNames = {
+constexpr std::array<std::string_view, 34> ErrcNames = {
     "ok",
     "bad-request",
     "unknown-service",
@@ -42,10 +42,11 @@
     "invalid-configuration",
     "invalid-settings",
     "slot-not-owned",
+    "unknown-route",
 };
 
 static_assert(ErrcNames.size() ==
-              static_cast<std::size_t>(Errc::SlotNotOwned) + 1);
+              static_cast<std::size_t>(Errc::UnknownRoute) + 1);
 
 class FigturnCategory : public std::error_category {
 public:
--- a/src/state/Errc.h
+++ b/src/state/Errc.h
@@ -51,7 +51,8 @@
   // What an operator gave.
   InvalidConfiguration,
   InvalidSettings,
-  SlotNotOwned ///< The VM asked to run a call owns no slot of the target.
+  SlotNotOwned, ///< The VM asked to run a call owns no slot of the target.
+  UnknownRoute  ///< No route of the configuration matches host and path.
 };
 
 /** The category that holds Errc. */
--- a/src/state/Event.cpp
+++ b/src/state/Event.cpp
@@ -4,8 +4,8 @@
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 namespace figturn {
 
@@ -36,19 +36,36 @@
 
 void setLogThreshold(Severity Least) { Threshold.store(Least); }
 
-bool isLogged(Event Id) { return eventInfo(Id).m_Severity >= Threshold.load(); }
+LogSink &logSink() {
+  static LogSink Sink{LogSinkOptions{}};
+  return Sink;
+}
+
+void setLogOutput(LogOutput Output) {
+  const bool IsService = Output == LogOutput::StandardOutput;
+  logSink().configure({.m_Descriptor = IsService ? STDOUT_FILENO : STDERR_FILENO,
+                       .m_IsBuffered = IsService});
+}
+
+bool isLogged(Event Id) {
+  return eventInfo(Id).m_Severity >= Threshold.load() &&
+         logSink().admit(static_cast<std::uint16_t>(Id), Clock::now());
+}
 
 void writeEvent(Event Id, std::string_view Fields) {
   const EventInfo &Info = eventInfo(Id);
   const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto Millis = Now.time_since_epoch().count() % 1000;
-  const std::string Line = fmt::format(
-      "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} F{:04} {} {}\n",
+  std::string Line = fmt::format(
+      "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} F{:04} {} {}",
       fmt::gmtime(std::chrono::system_clock::to_time_t(Now)), Millis,
       SeverityNames.at(static_cast<std::size_t>(Info.m_Severity)),
       Info.m_Number, Info.m_Name, Fields);
-  std::fwrite(Line.data(), 1, Line.size(), stderr);
+  if (const std::uint64_t LeftOut = logSink().takeLeftOut(Info.m_Number))
+    Line += fmt::format(" left_out={}", LeftOut);
+  Line += '\n';
+  logSink().write(Line);
 }
 
 } // namespace figturn
--- a/src/state/Event.h
+++ b/src/state/Event.h
@@ -4,9 +4,12 @@
 /**
  * Numbered log events. Each line that the program logs belongs to one of
  * them; docs/EVENTS.md is their catalogue, and CI checks that the two agree.
- * Lines go to standard error as key=value fields, one line an event.
+ * Lines are key=value fields, one line an event. `figturn serve` writes them
+ * to standard output, commands to standard error.
  */
 
+#include "state/LogSink.h"
+
 #include <cstdint>
 #include <fmt/format.h>
 #include <span>
@@ -40,10 +43,23 @@
 /** The catalogue entry of \p Id. */
 const EventInfo &eventInfo(Event Id);
 
+/** Where log lines go. */
+enum class LogOutput {
+  StandardError, ///< Each line at once.
+  StandardOutput ///< In blocks; the process calls logSink().flush().
+};
+
+/** Standard error holds at start. */
+void setLogOutput(LogOutput Output);
+
+/** The sink of this process. */
+LogSink &logSink();
+
 /** Drops events below \p Least; Severity::Info holds at start. */
 void setLogThreshold(Severity Least);
 
-/** Whether an event of \p Id would be written. */
+/** Whether an event of \p Id is to be written; counts it as left out if it
+ *  comes too often. */
 bool isLogged(Event Id);
 
 /** Writes one log line for \p Id with already formatted \p Fields. */
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -22,13 +22,6 @@
 
 std::string text(beast::string_view Text) { return {Text.data(), Text.size()}; }
 
-std::string findHeader(const HttpHeaders &Headers, const std::string &Name) {
-  for (const auto &[Key, Value] : Headers)
-    if (beast::iequals(Key, Name))
-      return Value;
-  return {};
-}
-
 HttpHeaders copyHeaders(const http::fields &Fields) {
   HttpHeaders Headers;
   for (const auto &Field : Fields)
@@ -88,14 +81,6 @@
 
 } // namespace
 
-std::string HttpRequest::header(const std::string &Name) const {
-  return findHeader(m_Headers, Name);
-}
-
-std::string HttpReply::header(const std::string &Name) const {
-  return findHeader(m_Headers, Name);
-}
-
 struct HttpRequestReader::Parser {
   http::request_parser<http::string_body> m_Parser;
 };
@@ -152,6 +137,7 @@
   const std::string Target = text(Message.target());
   const std::size_t Mark = Target.find('?');
   return {.m_Method = text(Message.method_string()),
+          .m_Target = Target,
           .m_Path = Target.substr(0, Mark),
           .m_Query = Mark == std::string::npos ? "" : Target.substr(Mark + 1),
           .m_Headers = copyHeaders(Message),
@@ -171,6 +157,7 @@
   if (!m_Parser) {
     m_Parser = std::make_unique<Parser>();
     m_Parser->m_Parser.body_limit(m_BodyLimit);
+    m_Parser->m_Parser.skip(m_NoBody);
   }
   beast::error_code Error;
   const std::size_t Used = feedParser(m_Parser->m_Parser, Bytes, Error);
@@ -193,6 +180,7 @@
 HttpReply HttpReplyReader::take() {
   auto Message = m_Parser->m_Parser.release();
   m_Parser.reset();
+  m_NoBody = m_NoBody && Message.result_int() < 200;
   return {.m_Status = Message.result_int(),
           .m_Headers = copyHeaders(Message),
           .m_Body = std::move(Message.body()),
@@ -211,7 +199,8 @@
   const bool HasBody = Response.m_Status >= 200 && Response.m_Status != 204 &&
                        Response.m_Status != 304;
   if (HasBody) {
-    Message.set(http::field::content_type, oneLine(Response.m_ContentType));
+    if (!Response.m_ContentType.empty())
+      Message.set(http::field::content_type, oneLine(Response.m_ContentType));
     Message.content_length(Response.m_Body.size());
     if (!Framing.m_OmitBody)
       Message.body() = Response.m_Body;
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -7,7 +7,7 @@
  * includes them. The readers take bytes as they come and own no socket.
  */
 
-#include "transport/HttpServer.h"
+#include "protocol/HttpMessage.h"
 
 #include <cstddef>
 #include <memory>
@@ -56,7 +56,9 @@
   bool m_KeepAlive = true; ///< The connection can carry a further call.
 
   /** Value of the header \p Name (case-insensitive), or "". */
-  std::string header(const std::string &Name) const;
+  std::string header(std::string_view Name) const {
+    return headerValue(m_Headers, Name);
+  }
 };
 
 /** Reads replies from a stream of bytes, one after the other. */
@@ -68,6 +70,8 @@
 
   /** As HttpRequestReader::feed(). */
   std::size_t feed(std::string_view Bytes);
+  /** The next reply has no body, whatever its header says. */
+  void expectNoBody() { m_NoBody = true; }
   /** Tells that the stream ended; may complete a reply without a length. */
   void feedEnd();
   /** Whether part of a reply was read, or all of it. */
@@ -82,6 +86,7 @@
   struct Parser;
   std::size_t m_BodyLimit;
   bool m_Failed = false;
+  bool m_NoBody = false;
   std::unique_ptr<Parser> m_Parser;
 };
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -183,6 +183,14 @@
 
 void HttpServer::stopListening() { m_Impl->stopListening(); }
 
+void HttpServer::setLimits(const HttpServerLimits &Limits) {
+  HttpServerOptions &Options = m_Impl->m_State->m_Options;
+  Options.m_HeaderLimit = Limits.m_HeaderLimit;
+  Options.m_BodyLimit = Limits.m_BodyLimit;
+  Options.m_RequestTimeout = Limits.m_RequestTimeout;
+  Options.m_IdleTimeout = Limits.m_IdleTimeout;
+}
+
 void HttpServer::closeAfterAnswers() {
   m_Impl->m_State->m_CloseAfterAnswers = true;
 }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -8,6 +8,7 @@
  * no limit for bodies (docs/DESIGN.md, tests HttpServer*).
  */
 
+#include "protocol/HttpMessage.h"
 #include "state/Time.h"
 #include "transport/WorkerPool.h"
 
@@ -17,34 +18,9 @@
 #include <memory>
 #include <string>
 #include <system_error>
-#include <utility>
-#include <vector>
 
 namespace figturn {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
-/** A complete request as the parser gave it. */
-struct HttpRequest {
-  std::string m_Method;
-  std::string m_Path;  ///< Without the query string.
-  std::string m_Query; ///< After '?', undecoded; may be empty.
-  HttpHeaders m_Headers;
-  std::string m_Body;
-
-  /** Value of the header \p Name (case-insensitive), or "". */
-  std::string header(const std::string &Name) const;
-};
-
-/** A response to write. Content-Length is added by the server. */
-struct HttpResponse {
-  unsigned m_Status = 200;
-  std::string m_Body;
-  std::string m_ContentType = "application/json";
-  HttpHeaders m_Headers;
-  bool m_CloseAfter = false; ///< Ends the connection once it is written.
-};
-
 /**
  * One request and the right to answer it once. May be kept as long as wanted
  * and answered from any thread; if the caller has gone the answer is dropped.
@@ -82,6 +58,15 @@
   milliseconds m_IdleTimeout{60000};
 };
 
+/** Limits that may change while a server runs; in force for connections
+ *  accepted and requests begun from then on. */
+struct HttpServerLimits {
+  std::size_t m_HeaderLimit = 0; ///< Bytes of one header block.
+  std::size_t m_BodyLimit = 0;   ///< Bytes of one body.
+  milliseconds m_RequestTimeout{};
+  milliseconds m_IdleTimeout{};
+};
+
 /** Listens on one address and spreads connections over a worker pool. */
 class HttpServer {
 public:
@@ -94,6 +79,8 @@
   std::error_code listen();
   /** The port listened on; 0 before listen(). */
   std::uint16_t port() const;
+  /** Changes the limits; called on the only worker of the pool. */
+  void setLimits(const HttpServerLimits &Limits);
   /** Closes the listening socket; open connections go on. */
   void stopListening();
   /** From now on each answer ends its connection. */
--- a/src/transport/HttpServerState.h
+++ b/src/transport/HttpServerState.h
@@ -35,7 +35,7 @@
   /** Whether this thread is worker \p Index. */
   bool isOnWorker(std::size_t Index) const;
 
-  const HttpServerOptions m_Options;
+  HttpServerOptions m_Options;
   HttpHandler m_Handler;
   std::atomic<std::size_t> m_Pending = 0;     ///< Requests not yet answered.
   std::atomic<std::size_t> m_Connections = 0; ///< Open connections.
--- /dev/null
+++ b/src/transport/StreamSocket.cpp
@@ -0,0 +1,209 @@
+#include "transport/StreamSocket.h"
+
+#include <QPointer>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace figturn {
+
+namespace {
+
+/** Bytes taken from the kernel at a time; a shard's part and its header fit. */
+constexpr std::size_t ReadSize = 16384;
+
+/** Keep-alive probes without an answer that break a connection. */
+constexpr int KeepAliveProbes = 3;
+
+bool fillAddress(const QHostAddress &Host, std::uint16_t Port,
+                 sockaddr_storage &Storage, socklen_t &Length) {
+  if (Host.protocol() == QAbstractSocket::IPv6Protocol) {
+    auto &Address = reinterpret_cast<sockaddr_in6 &>(Storage);
+    Address.sin6_family = AF_INET6;
+    Address.sin6_port = htons(Port);
+    const Q_IPV6ADDR Bytes = Host.toIPv6Address();
+    std::memcpy(&Address.sin6_addr, &Bytes, sizeof(Bytes));
+    Length = sizeof(sockaddr_in6);
+    return true;
+  }
+  if (Host.protocol() != QAbstractSocket::IPv4Protocol)
+    return false;
+  auto &Address = reinterpret_cast<sockaddr_in &>(Storage);
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(Host.toIPv4Address());
+  Length = sizeof(sockaddr_in);
+  return true;
+}
+
+void setOption(int Descriptor, int Level, int Name, int Value) {
+  ::setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+}
+
+} // namespace
+
+StreamSocket::StreamSocket(Handlers To, StreamTimeouts Timeouts)
+    : m_To(std::move(To)), m_Timeouts(Timeouts) {}
+
+StreamSocket::~StreamSocket() { close(); }
+
+void StreamSocket::connectTo(const QHostAddress &Host, std::uint16_t Port) {
+  sockaddr_storage Storage{};
+  socklen_t Length = 0;
+  if (!fillAddress(Host, Port, Storage, Length)) {
+    endLater(StreamEnd::Refused);
+    return;
+  }
+  m_Descriptor = ::socket(Storage.ss_family,
+                          SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (m_Descriptor < 0) {
+    endLater(StreamEnd::Refused);
+    return;
+  }
+  applyOptions();
+  const int Result = ::connect(
+      m_Descriptor, reinterpret_cast<const sockaddr *>(&Storage), Length);
+  if (Result != 0 && errno != EINPROGRESS) {
+    endLater(StreamEnd::Refused);
+    return;
+  }
+  m_WriteNotifier =
+      std::make_unique<QSocketNotifier>(m_Descriptor, QSocketNotifier::Write);
+  connect(m_WriteNotifier.get(), &QSocketNotifier::activated, this,
+          &StreamSocket::onWritable);
+}
+
+void StreamSocket::applyOptions() const {
+  setOption(m_Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  if (m_Timeouts.m_Unacknowledged.count() > 0)
+    setOption(m_Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(m_Timeouts.m_Unacknowledged.count()));
+  if (m_Timeouts.m_KeepAliveInterval.count() <= 0)
+    return;
+  const auto Interval =
+      static_cast<int>(m_Timeouts.m_KeepAliveInterval.count());
+  setOption(m_Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(m_Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, Interval);
+  setOption(m_Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, Interval);
+  setOption(m_Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void StreamSocket::write(std::string Bytes) {
+  if (m_Ended)
+    return;
+  if (m_Output.empty())
+    m_Output = std::move(Bytes);
+  else
+    m_Output += Bytes;
+  if (m_Connected)
+    flush();
+}
+
+void StreamSocket::flush() {
+  while (!m_Output.empty()) {
+    const auto Sent =
+        ::send(m_Descriptor, m_Output.data(), m_Output.size(), MSG_NOSIGNAL);
+    if (Sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      break;
+    if (Sent < 0) {
+      // What came before the break is still read; the read notifier tells.
+      m_Output.clear();
+      break;
+    }
+    m_Output.erase(0, static_cast<std::size_t>(Sent));
+  }
+  if (m_WriteNotifier)
+    m_WriteNotifier->setEnabled(!m_Output.empty());
+}
+
+void StreamSocket::onWritable() {
+  if (m_Connected) {
+    flush();
+    return;
+  }
+  int Error = 0;
+  socklen_t Size = sizeof(Error);
+  ::getsockopt(m_Descriptor, SOL_SOCKET, SO_ERROR, &Error, &Size);
+  if (Error != 0) {
+    end(StreamEnd::Refused);
+    return;
+  }
+  m_Connected = true;
+  m_ReadNotifier =
+      std::make_unique<QSocketNotifier>(m_Descriptor, QSocketNotifier::Read);
+  connect(m_ReadNotifier.get(), &QSocketNotifier::activated, this,
+          &StreamSocket::onReadable);
+  flush();
+  m_To.m_OnConnected();
+}
+
+void StreamSocket::onReadable() {
+  std::array<char, ReadSize> Buffer; // NOLINT: filled by recv
+  const QPointer<StreamSocket> Self(this);
+  while (Self && m_Descriptor >= 0) {
+    const auto Got = ::recv(m_Descriptor, Buffer.data(), Buffer.size(), 0);
+    if (Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return;
+    if (Got <= 0) {
+      end(Got == 0 ? StreamEnd::Closed : StreamEnd::Broken);
+      return;
+    }
+    m_Input.append(Buffer.data(), static_cast<std::size_t>(Got));
+    m_To.m_OnBytes();
+    // A short read has emptied the kernel's buffer; the notifier tells of
+    // more, so that most messages cost one call.
+    if (static_cast<std::size_t>(Got) < Buffer.size())
+      return;
+  }
+}
+
+void StreamSocket::endLater(StreamEnd How) {
+  QMetaObject::invokeMethod(
+      this, [this, How] { end(How); }, Qt::QueuedConnection);
+}
+
+void StreamSocket::end(StreamEnd How) {
+  if (m_Ended)
+    return;
+  close();
+  m_To.m_OnEnd(How);
+}
+
+void StreamSocket::close() {
+  m_Ended = true;
+  // A notifier may be the sender of the signal that led here.
+  for (auto *Notifier : {&m_ReadNotifier, &m_WriteNotifier})
+    if (*Notifier) {
+      (*Notifier)->setEnabled(false);
+      (*Notifier)->disconnect(this);
+      Notifier->release()->deleteLater();
+    }
+  if (m_Descriptor >= 0)
+    ::close(std::exchange(m_Descriptor, -1));
+  m_Connected = false;
+}
+
+bool StreamSocket::isQuietAndOpen() const {
+  if (!isConnected() || !m_Input.empty())
+    return false;
+  char Byte = 0;
+  const auto Seen = ::recv(m_Descriptor, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool StreamSocket::hasUnacknowledgedBytes() const {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (m_Descriptor < 0 || ::getsockopt(m_Descriptor, IPPROTO_TCP, TCP_INFO,
+                                       &Info, &Size) != 0)
+    return false;
+  return Info.tcpi_unacked > 0;
+}
+
+} // namespace figturn
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -2,12 +2,6 @@
 
 #include "state/Errc.h"
 
-#include <QNetworkProxy>
-
-#include <cerrno>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <utility>
 
 namespace figturn {
@@ -25,68 +19,74 @@
 
 TargetConnection::TargetConnection(const TargetEndpoint &Endpoint,
                                    Listener &Owner)
-    : m_Endpoint(Endpoint), m_Owner(Owner), m_Reader(Endpoint.m_ReplyLimit),
-      m_LastProgress(Clock::now()) {
-  m_Socket.setProxy(QNetworkProxy::NoProxy);
-  // Queued, so that a failure within a call isn't reported from within it.
-  connect(&m_Socket, &QTcpSocket::errorOccurred, this, &TargetConnection::onEnd,
-          Qt::QueuedConnection);
-  connect(&m_Socket, &QTcpSocket::disconnected, this, &TargetConnection::onEnd,
-          Qt::QueuedConnection);
-  connect(&m_Socket, &QTcpSocket::connected, this,
-          &TargetConnection::onConnected);
-  connect(&m_Socket, &QTcpSocket::readyRead, this,
-          &TargetConnection::onReadable);
-}
+    : m_Endpoint(Endpoint), m_Owner(Owner),
+      m_Socket({.m_OnConnected = [this] { onConnected(); },
+                .m_OnBytes =
+                    [this] {
+                      m_LastProgress = Clock::now();
+                      takeReplies();
+                    },
+                .m_OnEnd = [this](StreamEnd How) { onEnd(How); }},
+               Endpoint.m_Timeouts),
+      m_Reader(Endpoint.m_ReplyLimit), m_LastProgress(Clock::now()) {}
 
 TargetConnection::~TargetConnection() { close(); }
 
 void TargetConnection::open() {
-  m_Socket.connectToHost(m_Endpoint.m_Host, m_Endpoint.m_Port);
+  m_Socket.connectTo(m_Endpoint.m_Host, m_Endpoint.m_Port);
 }
 
 void TargetConnection::onConnected() {
   m_Connected = true;
-  m_Socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  const auto UserTimeout =
-      static_cast<unsigned>(m_Endpoint.m_UserTimeout.count());
-  ::setsockopt(static_cast<int>(m_Socket.socketDescriptor()), IPPROTO_TCP,
-               TCP_USER_TIMEOUT, &UserTimeout, sizeof(UserTimeout));
-  greet();
+  if (m_Endpoint.m_Greets) {
+    greet();
+    return;
+  }
+  m_Greeted = true;
+  m_LastProgress = Clock::now();
+  m_Owner.onGreeted(*this);
 }
 
 void TargetConnection::greet() {
+  m_RequestId.clear();
   write(writeRequest("GET", HelloPath, m_Endpoint.m_HostHeader, {}));
 }
 
 void TargetConnection::post(const std::string &Path, const std::string &Body) {
+  m_RequestId.clear();
   write(writeRequest("POST", Path, m_Endpoint.m_HostHeader, Body));
 }
 
-void TargetConnection::write(const std::string &Bytes) {
+void TargetConnection::exchange(std::string Bytes, std::string RequestId,
+                                bool IsHead) {
+  if (IsHead)
+    m_Reader.expectNoBody();
+  m_RequestId = std::move(RequestId);
+  write(std::move(Bytes));
+}
+
+void TargetConnection::write(std::string Bytes) {
   m_Expecting = true;
   m_LastProgress = Clock::now();
-  m_Socket.write(Bytes.data(), static_cast<qint64>(Bytes.size()));
-  m_Socket.flush();
+  m_Socket.write(std::move(Bytes));
 }
 
-void TargetConnection::onReadable() {
-  while (!m_Closed && m_Socket.bytesAvailable() > 0) {
-    const QByteArray Fresh = m_Socket.readAll();
-    m_LastProgress = Clock::now();
-    m_Input.append(Fresh.constData(), static_cast<std::size_t>(Fresh.size()));
-    takeReply();
-  }
+bool TargetConnection::isForeign(const HttpReply &Reply) const {
+  if (m_RequestId.empty() || m_Endpoint.m_RequestIdHeader.empty())
+    return false;
+  const std::string Named = Reply.header(m_Endpoint.m_RequestIdHeader);
+  return !Named.empty() && Named != m_RequestId;
 }
 
-void TargetConnection::takeReply() {
-  while (!m_Closed && !m_Input.empty()) {
+void TargetConnection::takeReplies() {
+  std::string &Input = m_Socket.input();
+  while (!m_Closed && !Input.empty()) {
     if (!m_Expecting) {
       lose(Errc::BadReply);
       return;
     }
-    const std::size_t Used = m_Reader.feed(m_Input);
-    m_Input.erase(0, Used);
+    const std::size_t Used = m_Reader.feed(Input);
+    Input.erase(0, Used);
     if (m_Reader.hasFailed()) {
       lose(Errc::BadReply);
       return;
@@ -96,12 +96,18 @@
     HttpReply Reply = m_Reader.take();
     if (isInterim(Reply))
       continue;
+    if (isForeign(Reply)) {
+      m_Tainted = true;
+      continue;
+    }
     m_Expecting = false;
-    // Bytes behind a reply belong to no call; none may read them as its own.
-    Reply.m_KeepAlive = Reply.m_KeepAlive && m_Input.empty();
+    // Bytes behind a reply belong to no call, and a target that answered
+    // before it had the whole request would take the rest for a new one.
+    Reply.m_KeepAlive = Reply.m_KeepAlive && Input.empty() && !m_Tainted &&
+                        m_Socket.isFlushed();
     if (m_Greeted) {
       m_Owner.onReply(*this, std::move(Reply));
-      continue;
+      return;
     }
     if (Reply.m_Status != 200 || !Reply.m_KeepAlive) {
       lose(Errc::ConnectFailed);
@@ -110,56 +116,48 @@
     m_Greeted = true;
     m_BootId = BootId(Reply.header(BootHeader));
     m_Owner.onGreeted(*this);
+    return;
   }
 }
 
-void TargetConnection::onEnd() {
-  onReadable();
+void TargetConnection::onEnd(StreamEnd How) {
   if (m_Closed)
     return;
-  if (m_Expecting && m_Reader.hasStarted()) {
+  if (!m_Expecting || !m_Reader.hasStarted()) {
+    lose(Errc::ConnectionClosed);
+    return;
+  }
+  // A reply without a length ends with its connection, but one that was
+  // reset may lack its end.
+  if (How == StreamEnd::Closed)
     m_Reader.feedEnd();
-    if (m_Reader.isComplete() && m_Greeted) {
-      HttpReply Reply = m_Reader.take();
-      Reply.m_KeepAlive = false;
-      m_Expecting = false;
-      m_Owner.onReply(*this, std::move(Reply));
-      return;
-    }
+  if (How != StreamEnd::Closed || !m_Reader.isComplete() || !m_Greeted) {
     lose(Errc::TruncatedReply);
     return;
   }
-  lose(Errc::ConnectionClosed);
+  HttpReply Reply = m_Reader.take();
+  if (isForeign(Reply)) {
+    lose(Errc::ConnectionClosed);
+    return;
+  }
+  Reply.m_KeepAlive = false;
+  m_Expecting = false;
+  m_Owner.onReply(*this, std::move(Reply));
 }
 
 void TargetConnection::lose(std::error_code Why) {
+  const bool WasGreeted = m_Greeted;
   close();
-  m_Owner.onLost(*this, m_Greeted ? Why : Errc::ConnectFailed);
+  m_Owner.onLost(*this, WasGreeted ? Why : Errc::ConnectFailed);
 }
 
 void TargetConnection::close() {
   m_Closed = true;
-  m_Socket.disconnect(this);
-  m_Socket.abort();
+  m_Socket.close();
 }
 
 bool TargetConnection::isQuietAndOpen() const {
-  if (m_Closed || m_Socket.state() != QAbstractSocket::ConnectedState ||
-      m_Socket.bytesAvailable() > 0)
-    return false;
-  char Byte = 0;
-  const auto Seen = ::recv(static_cast<int>(m_Socket.socketDescriptor()), &Byte,
-                           1, MSG_PEEK | MSG_DONTWAIT);
-  return Seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-bool TargetConnection::hasUnacknowledgedBytes() const {
-  tcp_info Info{};
-  socklen_t Size = sizeof(Info);
-  if (::getsockopt(static_cast<int>(m_Socket.socketDescriptor()), IPPROTO_TCP,
-                   TCP_INFO, &Info, &Size) != 0)
-    return false;
-  return Info.tcpi_unacked > 0;
+  return !m_Closed && m_Socket.isQuietAndOpen();
 }
 
 } // namespace figturn
--- a/src/transport/TargetConnection.h
+++ b/src/transport/TargetConnection.h
@@ -2,18 +2,18 @@
 #define FIGTURN_TRANSPORT_TARGETCONNECTION_H
 
 /**
- * One connection to a target: greets it once, then carries one exchange at a
- * time. It decides nothing; the pool that owns it says what to write and
- * when to give up.
+ * One connection to a target: greets it once, where the target's protocol has
+ * a greeting, then carries one exchange at a time. It decides nothing; the
+ * pool that owns it says what to write and when to give up.
  */
 
 #include "state/Ids.h"
 #include "state/Time.h"
 #include "transport/HttpCodec.h"
+#include "transport/StreamSocket.h"
 
 #include <QHostAddress>
 #include <QObject>
-#include <QTcpSocket>
 
 #include <string>
 #include <system_error>
@@ -26,8 +26,12 @@
   std::uint16_t m_Port = 0;
   std::string m_HostHeader;
   std::size_t m_ReplyLimit = 0; ///< Bytes of one reply body.
-  /** Unacknowledged bytes break the connection after so long. */
-  milliseconds m_UserTimeout{};
+  StreamTimeouts m_Timeouts;
+  /** Whether a connection is greeted before its first exchange. */
+  bool m_Greets = true;
+  /** Header by which targets name the request that a reply answers; a reply
+   *  that names another one is dropped. Empty: replies name none. */
+  std::string m_RequestIdHeader;
 };
 
 /** Reports to its listener until close() is called or it was lost. */
@@ -52,6 +56,9 @@
   void open();
   /** Writes a POST; only once greeted and with no exchange under way. */
   void post(const std::string &Path, const std::string &Body);
+  /** Writes a whole request; the reply is the one to \p RequestId and, if
+   *  the request is a HEAD, has no body. */
+  void exchange(std::string Bytes, std::string RequestId, bool IsHead);
   /** Writes a greeting as an exchange of its own. */
   void greet();
   /** Ends the connection without a report. */
@@ -60,7 +67,9 @@
   /** Whether the target has neither closed nor sent anything unasked. */
   bool isQuietAndOpen() const;
   /** Whether bytes that were written are not yet acknowledged. */
-  bool hasUnacknowledgedBytes() const;
+  bool hasUnacknowledgedBytes() const {
+    return m_Socket.hasUnacknowledgedBytes();
+  }
   /** Whether part of the reply under way has come. */
   bool hasPartOfReply() const { return m_Reader.hasStarted(); }
   bool isConnected() const { return m_Connected; }
@@ -70,22 +79,23 @@
 
 private:
   void onConnected();
-  void onReadable();
-  void onEnd();
-  void takeReply();
+  void onEnd(StreamEnd How);
+  void takeReplies();
+  bool isForeign(const HttpReply &Reply) const;
   void lose(std::error_code Why);
-  void write(const std::string &Bytes);
+  void write(std::string Bytes);
 
   TargetEndpoint m_Endpoint;
   Listener &m_Owner;
-  QTcpSocket m_Socket;
+  StreamSocket m_Socket;
   HttpReplyReader m_Reader;
-  std::string m_Input;
+  std::string m_RequestId; ///< Of the exchange under way.
   BootId m_BootId;
   TimePoint m_LastProgress;
   bool m_Connected = false;
   bool m_Greeted = false;
   bool m_Expecting = false; ///< An exchange is under way.
+  bool m_Tainted = false;   ///< A foreign reply came; not to be reused.
   bool m_Closed = false;
 };
 
--- a/src/transport/TargetPool.cpp
+++ b/src/transport/TargetPool.cpp
@@ -19,6 +19,12 @@
 
 void TargetPool::cancel(CallId Call) { m_Impl->cancel(Call); }
 
+bool TargetPool::withdraw(CallId Call) { return m_Impl->withdraw(Call); }
+
+void TargetPool::setMaxConnections(std::size_t Most) {
+  m_Impl->setMaxConnections(Most);
+}
+
 void TargetPool::warmUp(std::size_t Count) { m_Impl->warmUp(Count); }
 
 std::size_t TargetPool::connections() const { return m_Impl->m_Entries.size(); }
--- a/src/transport/TargetPool.h
+++ b/src/transport/TargetPool.h
@@ -21,6 +21,7 @@
  * run: that waits for its deadline.
  */
 
+#include "protocol/HttpMessage.h"
 #include "state/Ids.h"
 #include "state/Time.h"
 #include "state/Verdict.h"
@@ -49,6 +50,22 @@
   /** An idle connection is closed after so long. */
   milliseconds m_IdleTimeout{30000};
   std::size_t m_ReplyLimit = 8388608; ///< Bytes of one reply body.
+  /** Whether the target speaks figturn's own protocol: greetings and
+   *  cancellations. Otherwise a connection is ready once it is open, a call is
+   *  cancelled by closing its connection, idle connections that are older
+   *  than one found silent are retired unasked, and a call is taken for
+   *  silent only while its bytes are unacknowledged, not for being slow. */
+  bool m_SpeaksOwnProtocol = true;
+  /** Header by which targets name the request that a reply answers. */
+  std::string m_RequestIdHeader;
+  /** Idle connections are probed by the kernel each so often; 0: never. */
+  seconds m_KeepAliveInterval{};
+  /** The kernel breaks a connection whose bytes stay unacknowledged for so
+   *  long; 0: four silence thresholds. */
+  milliseconds m_UnacknowledgedTimeout{};
+  /** A call that was given up has until its deadline and this much longer to
+   *  be answered before its connection is closed; 0: by the silence rule. */
+  milliseconds m_ReplyGrace{};
 };
 
 /** A call to write. */
@@ -63,6 +80,11 @@
   /** The call is sent only on a connection whose hello showed this boot id;
    *  without one it ends ConnectFailed and NotRun. Empty: on any. */
   BootId m_RequiredBoot;
+  /** Gives the whole request's bytes when it is written at a time, instead
+   *  of a POST of the body to the path. */
+  std::function<std::string(TimePoint)> m_WriteRequest;
+  std::string m_RequestId; ///< What the reply to such a request names.
+  bool m_IsHead = false;   ///< The reply to such a request has no body.
 };
 
 /** How a call ended; exactly one result per call. */
@@ -73,6 +95,7 @@
    *  Cancelled. */
   std::error_code m_Error;
   unsigned m_Status = 0;
+  HttpHeaders m_Headers;
   std::string m_Body;
   /** NotRun if and only if no byte of the call was handed to the socket; Ran
    *  if the reply's status is 200. */
@@ -124,9 +147,16 @@
    *  to the target on another connection, so that its own can be kept. */
   void cancel(CallId Call);
 
+  /** Ends a call like cancel() if no byte of it was written yet; false if it
+   *  is on the wire or has ended. */
+  bool withdraw(CallId Call);
+
   /** Opens connections up to \p Count ahead of need. */
   void warmUp(std::size_t Count);
 
+  /** Changes the limit of connections; those above it are not closed. */
+  void setMaxConnections(std::size_t Most);
+
   std::size_t connections() const;
   /** Calls without a result, waiting ones included. */
   std::size_t callsInFlight() const;
--- a/src/transport/TargetPoolImpl.cpp
+++ b/src/transport/TargetPoolImpl.cpp
@@ -7,6 +7,7 @@
 #include <QPointer>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace figturn {
@@ -21,6 +22,27 @@
 /** How many thresholds the kernel waits for an acknowledgement. */
 constexpr int UserTimeoutThresholds = 4;
 
+/** Ahead of the target's own time, so that no call meets its close. */
+constexpr milliseconds KeepAliveMargin{400};
+
+/** Reads "timeout=SECONDS" of a Keep-Alive header. */
+std::optional<milliseconds> keptFor(const HttpReply &Reply) {
+  const std::string Header = Reply.header("Keep-Alive");
+  const std::size_t At = Header.find("timeout=");
+  if (At == std::string::npos)
+    return std::nullopt;
+  const seconds Timeout(std::strtol(Header.c_str() + At + 8, nullptr, 10));
+  if (Timeout.count() <= 0)
+    return std::nullopt;
+  return std::max<milliseconds>(Timeout - KeepAliveMargin, KeepAliveMargin);
+}
+
+milliseconds unacknowledgedTimeout(const TargetPoolOptions &Options) {
+  if (Options.m_UnacknowledgedTimeout.count() > 0)
+    return Options.m_UnacknowledgedTimeout;
+  return UserTimeoutThresholds * Options.m_SilenceThreshold;
+}
+
 } // namespace
 
 TargetPool::Impl::Impl(TargetPoolOptions Options,
@@ -32,11 +54,16 @@
                  .m_HostHeader =
                      m_Options.m_Host + ":" + std::to_string(m_Options.m_Port),
                  .m_ReplyLimit = m_Options.m_ReplyLimit,
-                 .m_UserTimeout =
-                     UserTimeoutThresholds * m_Options.m_SilenceThreshold} {
+                 .m_Timeouts = {.m_Unacknowledged = unacknowledgedTimeout(
+                                    m_Options),
+                                .m_KeepAliveInterval =
+                                    m_Options.m_KeepAliveInterval},
+                 .m_Greets = m_Options.m_SpeaksOwnProtocol,
+                 .m_RequestIdHeader = m_Options.m_RequestIdHeader} {
   m_Timer.setSingleShot(true);
   m_Timer.setTimerType(Qt::PreciseTimer);
-  connect(&m_Timer, &QTimer::timeout, this, &Impl::onTimer);
+  connect(&m_Timer, &QTimer::timeout, this,
+          [this] { handleEvent([this] { onTimer(); }); });
 }
 
 TargetPool::Impl::~Impl() {
@@ -73,6 +100,19 @@
   pump();
 }
 
+bool TargetPool::Impl::withdraw(CallId Id) {
+  const auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end() || Found->second.m_Entry)
+    return false;
+  endEarly(Id, Errc::Cancelled);
+  armTimer();
+  return true;
+}
+
+void TargetPool::Impl::setMaxConnections(std::size_t Most) {
+  m_Options.m_MaxConnections = Most;
+}
+
 void TargetPool::Impl::warmUp(std::size_t Count) {
   while (m_Entries.size() < Count && open())
     ;
@@ -167,7 +207,13 @@
   On.m_Used = true;
   On.m_Call = Record.m_Call.m_Call;
   Record.m_Entry = &On;
-  On.m_Connection->post(Record.m_Call.m_Path, Record.m_Call.m_Body);
+  On.m_ReplyBy = Record.m_Call.m_Deadline;
+  if (Record.m_Call.m_WriteRequest)
+    On.m_Connection->exchange(Record.m_Call.m_WriteRequest(On.m_Since),
+                              Record.m_Call.m_RequestId,
+                              Record.m_Call.m_IsHead);
+  else
+    On.m_Connection->post(Record.m_Call.m_Path, Record.m_Call.m_Body);
 }
 
 void TargetPool::Impl::openForWaiting() {
@@ -263,6 +309,11 @@
     fail(Id, Why, RunVerdict::NotRun);
     return;
   }
+  if (!m_Options.m_SpeaksOwnProtocol && Why == Errc::Cancelled) {
+    fail(Id, Why, RunVerdict::MayHaveRun);
+    remove(*On);
+    return;
+  }
   setUse(*On, Use::Abandoned);
   if (!Record.m_Call.m_CancelBody.empty())
     m_Cancels.push_back({On->m_Connection.get(), On->m_Since,
@@ -277,8 +328,15 @@
   });
 }
 
+void TargetPool::Impl::handleEvent(const std::function<void()> &Handle) {
+  m_InEvent = true;
+  Handle();
+  m_InEvent = false;
+  deliver();
+}
+
 void TargetPool::Impl::post(std::function<void()> Report) {
-  if (m_Outbox.empty())
+  if (m_Outbox.empty() && !m_InEvent)
     QMetaObject::invokeMethod(
         this, [this] { deliver(); }, Qt::QueuedConnection);
   m_Outbox.push_back(std::move(Report));
@@ -294,6 +352,21 @@
 // Reports of connections.
 
 void TargetPool::Impl::onGreeted(TargetConnection &From) {
+  handleEvent([&] { takeGreeting(From); });
+}
+
+void TargetPool::Impl::onReply(TargetConnection &From, HttpReply Reply) {
+  handleEvent([&] { takeReply(From, std::move(Reply)); });
+}
+
+void TargetPool::Impl::onLost(TargetConnection &From, std::error_code Why) {
+  handleEvent([&] {
+    dropLost(entryOf(From), Why);
+    pump();
+  });
+}
+
+void TargetPool::Impl::takeGreeting(const TargetConnection &From) {
   Entry &Fresh = entryOf(From);
   ++m_Counters.m_Opened;
   setUse(Fresh, Use::Idle);
@@ -306,13 +379,16 @@
   pump();
 }
 
-void TargetPool::Impl::onReply(TargetConnection &From, HttpReply Reply) {
+void TargetPool::Impl::takeReply(const TargetConnection &From,
+                                 HttpReply Reply) {
   Entry &On = entryOf(From);
   const bool KeepAlive = Reply.m_KeepAlive;
+  On.m_KeptFor = keptFor(Reply);
   if (On.m_Use == Use::Call) {
     const std::string Boot = Reply.header("X-Boot-Id");
     finish(On.m_Call,
            {.m_Status = Reply.m_Status,
+            .m_Headers = std::move(Reply.m_Headers),
             .m_Body = std::move(Reply.m_Body),
             .m_Verdict = Reply.m_Status == 200 ? RunVerdict::Ran
                                                : RunVerdict::MayHaveRun,
@@ -329,11 +405,6 @@
   pump();
 }
 
-void TargetPool::Impl::onLost(TargetConnection &From, std::error_code Why) {
-  dropLost(entryOf(From), Why);
-  pump();
-}
-
 void TargetPool::Impl::dropLost(const Entry &Lost, std::error_code Why) {
   const bool WasOpening = Lost.m_Use == Use::Opening;
   const BootId Boot = Lost.m_Connection->bootId();
--- a/src/transport/TargetPoolImpl.h
+++ b/src/transport/TargetPoolImpl.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,9 @@
     TimePoint m_Since; ///< When the present use began.
     CallId m_Call;     ///< With Use::Call.
     bool m_Used = false;
+    /** How long the target keeps it open while idle. */
+    std::optional<milliseconds> m_KeptFor;
+    TimePoint m_ReplyBy; ///< Deadline of the call that began last.
   };
 
   /** A call without a result. */
@@ -73,6 +77,8 @@
 
   void send(TargetCall Call, ResultHandler OnResult);
   void cancel(CallId Id);
+  bool withdraw(CallId Id);
+  void setMaxConnections(std::size_t Most);
   void warmUp(std::size_t Count);
 
   void onGreeted(TargetConnection &From) override;
@@ -103,10 +109,15 @@
    *  within send() or cancel(). */
   void post(std::function<void()> Report);
   void deliver();
+  /** Runs \p Handle and then the reports that it led to. */
+  void handleEvent(const std::function<void()> &Handle);
+  TimePoint abandonedUntil(const Entry &Of) const;
   void remove(const Entry &Old);
   void dropLost(const Entry &Lost, std::error_code Why);
   void onOpeningFailed();
 
+  void takeGreeting(const TargetConnection &From);
+  void takeReply(const TargetConnection &From, HttpReply Reply);
   void onTimer();
   void endExpiredCalls(TimePoint Now);
   void endExpiredUses(TimePoint Now);
@@ -138,6 +149,7 @@
   bool m_Probing = false;       ///< The next greeting answers a suspicion.
   std::size_t m_RetiredNow = 0; ///< Not yet observed.
   bool m_Ending = false;
+  bool m_InEvent = false; ///< Called from the event loop, not by the owner.
 };
 
 } // namespace figturn
--- a/src/transport/TargetPoolTimes.cpp
+++ b/src/transport/TargetPoolTimes.cpp
@@ -67,8 +67,11 @@
            (Of.m_Connection->isConnected() ? m_Options.m_ProbeTimeout
                                            : milliseconds(0));
   case Use::Idle:
-    return Of.m_Since + m_Options.m_IdleTimeout;
+    return Of.m_Since +
+           std::min(m_Options.m_IdleTimeout,
+                    Of.m_KeptFor.value_or(m_Options.m_IdleTimeout));
   case Use::Abandoned:
+    return abandonedUntil(Of);
   case Use::Cancel:
     return Of.m_Since + LateReplyThresholds * m_Options.m_SilenceThreshold;
   case Use::Check:
@@ -79,6 +82,12 @@
   return TimePoint::max();
 }
 
+TimePoint TargetPool::Impl::abandonedUntil(const Entry &Of) const {
+  if (m_Options.m_ReplyGrace.count() == 0)
+    return Of.m_Since + LateReplyThresholds * m_Options.m_SilenceThreshold;
+  return std::max(Of.m_ReplyBy, Of.m_Since) + m_Options.m_ReplyGrace;
+}
+
 void TargetPool::Impl::armTimer() {
   const TimePoint Now = Clock::now();
   TimePoint Next = TimePoint::max();
@@ -121,9 +130,11 @@
                      .m_WorkingSince = m_WorkingSince};
   const auto Threshold = m_Options.m_SilenceThreshold;
   const SilenceAction Action = decideSilence(Signs, Threshold, Now);
-  if (Action != SilenceAction::Wait)
+  if (Action == SilenceAction::None || Action == SilenceAction::Probe)
     return Action;
   Signs.m_Unacknowledged = Of.m_Connection->hasUnacknowledgedBytes();
+  if (!m_Options.m_SpeaksOwnProtocol && !Signs.m_Unacknowledged)
+    return SilenceAction::Wait;
   return decideSilence(Signs, Threshold, Now);
 }
 
@@ -175,6 +186,15 @@
 }
 
 void TargetPool::Impl::checkOlderThan(const Entry &Fresh) {
+  if (!m_Options.m_SpeaksOwnProtocol) {
+    std::vector<Entry *> Older;
+    for (const auto &Each : m_Entries)
+      if (Each->m_Use == Use::Idle && Each->m_OpenedAt < Fresh.m_OpenedAt)
+        Older.push_back(Each.get());
+    for (const Entry *Each : Older)
+      retire(*Each);
+    return;
+  }
   for (const auto &Each : m_Entries) {
     if (Each->m_Use != Use::Idle || Each->m_OpenedAt >= Fresh.m_OpenedAt)
       continue;
