Count misdirected calls as extra ones and list again after a failed watch

Change: a target that answers for another process is not used until its entry changes, and a retry after it is paid for; a failed watch is followed by a listing; a VM that hears of a later configuration asks the store for it.

--- a/src/coordination/ReplicaRace.cpp
+++ b/src/coordination/ReplicaRace.cpp
@@ -87,7 +87,7 @@
                          m_Verdict == RunVerdict::NotRun;
   std::optional<RaceSend> Next;
   if (MayRepeat && Outcome != CallOutcome::Abandoned)
-    Next = retry(reachedTarget(Outcome), World, Now);
+    Next = retry(Outcome != CallOutcome::NotSent, World, Now);
   if (!Next && m_Outstanding == 0)
     lose(m_Reason);
   return Next;
--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -16,7 +16,7 @@
 bool TargetChooser::isUsable(const ChoiceQuery &Query,
                          const TargetPtr &Candidate, TimePoint Now) {
   const TargetLoad &Load = Candidate->m_Load;
-  if (Candidate->m_Entry.m_Draining ||
+  if (Candidate->m_Entry.m_Draining || Load.isMisdirected() ||
       !Query.m_IsOpen(Candidate->m_Entry.m_DataCentre))
     return false;
   if (std::find(Query.m_Tried.begin(), Query.m_Tried.end(), Candidate) !=
--- a/src/coordination/TargetLoad.cpp
+++ b/src/coordination/TargetLoad.cpp
@@ -12,6 +12,7 @@
 void TargetLoad::end(CallNumber Call, CallOutcome Outcome,
                      double RelativeLatency, TimePoint Now) {
   m_Calls.erase(Call);
+  m_IsMisdirected = m_IsMisdirected || Outcome == CallOutcome::Misdirected;
   if (Outcome == CallOutcome::Abandoned || Outcome == CallOutcome::Misdirected)
     return;
   const double Slowness = slowness(Now);
--- a/src/coordination/TargetLoad.h
+++ b/src/coordination/TargetLoad.h
@@ -52,6 +52,9 @@
   /** Whether it was unreachable a moment ago, so that only a trial is due
    *  once the time is up. */
   bool isAvoided(TimePoint Now) const { return Now < m_AvoidUntil; }
+  /** Another process answers at its address: of no use until its registry
+   *  entry changes. */
+  bool isMisdirected() const { return m_IsMisdirected; }
   /** Unreachable on each of the latest calls; one trial at a time is due. */
   bool isUnderTrial() const { return m_UnreachableInRow > 0; }
 
@@ -75,6 +78,7 @@
   TimePoint m_UpdatedAt;
   std::uint32_t m_UnreachableInRow = 0;
   TimePoint m_AvoidUntil;
+  bool m_IsMisdirected = false;
 };
 
 } // namespace figturn
--- a/src/coordination/WatchSequence.cpp
+++ b/src/coordination/WatchSequence.cpp
@@ -47,6 +47,8 @@
                              (1 << std::min(m_Failures, MostDoublings)),
                          m_Options.m_LongestBackoff);
   ++m_Failures;
+  if (m_Next.m_Call == StoreCall::Watch)
+    m_Next = {.m_Call = StoreCall::List};
   std::uniform_int_distribution<Duration::rep> Spread(Longest.count() / 2,
                                                       Longest.count());
   m_Next.m_At = Now + Duration(Spread(m_Random));
--- a/src/coordination/WatchSequence.h
+++ b/src/coordination/WatchSequence.h
@@ -4,7 +4,10 @@
 /**
  * Decides which call of the platform's store follows the state of one kind of
  * object: list it once, page by page, then wait for changes from the revision
- * of the first page on, and list again only if the store's history is gone.
+ * of the first page on, and list again if the store's history is gone or a
+ * watch failed. A watch that is taken up where a failed one stood is not
+ * enough: a store that drops its history may accept it and never tell of the
+ * changes that it dropped.
  * Watches that return are re-armed after a short pause, so that a storm of
  * changes costs few calls; failures back off, with jitter against a fleet
  * that returns in step.
--- a/src/node/PlatformLink.h
+++ b/src/node/PlatformLink.h
@@ -50,8 +50,8 @@
   virtual ~PlatformLink() = default;
   virtual void start(PlatformListener &Listener) = 0;
   virtual void stop() = 0;
-  /** Another VM knows a later configuration than this one. */
-  virtual void hintNewerConfig() = 0;
+  /** Another VM has the configuration \p Version in force. */
+  virtual void hintNewerConfig(std::uint64_t Version, TimePoint Now) = 0;
   /** Asks for the registered VMs again: none is heard. */
   virtual void refreshVms() = 0;
   /** Whether configuration and registry follow the platform right now. */
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -241,10 +241,10 @@
       std::exchange(m_SharerCount, Sharers) != Sharers)
     m_World.updateShares(Now);
   const auto Peers = m_Fleet.alivePeers(Now);
-  if (std::any_of(Peers.begin(), Peers.end(), [Version](const VmRecord &Peer) {
-        return Peer.m_ConfigVersion > Version;
-      }))
-    m_Platform.m_Link->hintNewerConfig();
+  std::uint64_t Newest = 0;
+  for (const VmRecord &Peer : Peers)
+    Newest = std::max(Newest, Peer.m_ConfigVersion);
+  m_Platform.m_Link->hintNewerConfig(Newest, Now);
   copyStateFromPeer(Now);
   if (Peers.empty() && Now >= m_NextVmRefreshAt) {
     m_NextVmRefreshAt = Now + VmRefreshInterval;
