Test the routed door's decisions and replay the load that they answer

Cause: the door's decisions had no tests of their own; the first ones showed that gossip of whole records takes running VMs for lost in fleets of 30 and more, since a message holds 12 of them. Ruled out: larger datagrams (fragments multiply losses), a longer time before a VM is lost at every size (callers then keep a dead VM's address for longer). Change: counters of all VMs travel in each message, whole records while they are new; the time after which a VM is lost grows by a round for each doubling.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -1,10 +1,20 @@
 #include "coordination/FleetView.h"
 
+#include "state/RendezvousHash.h"
+
 #include <algorithm>
+#include <bit>
+#include <iterator>
 #include <utility>
 
 namespace figturn {
 
+std::uint32_t vmKey(const VmRecord &Record) {
+  return static_cast<std::uint32_t>(
+      stableHash(Record.m_Vm.value(),
+                 static_cast<std::uint64_t>(Record.m_StartedMs)));
+}
+
 FleetView::FleetView(VmRecord Self, std::vector<std::string> Seeds,
                      FleetViewOptions Options, std::uint32_t Seed)
     : m_Self(std::move(Self)), m_Options(Options), m_Random(Seed) {
@@ -35,64 +45,129 @@
   std::shuffle(Known.begin(), Known.end(), m_Random);
   Known.resize(std::min(Known.size(), m_Options.m_Fanout));
   // One address from which nothing is heard each round, so that parts of the
-  // fleet that lost one another find together again.
-  if (!Unheard.empty()) {
-    auto Pick = Unheard.begin();
-    std::advance(Pick, static_cast<std::ptrdiff_t>(m_Random() % Unheard.size()));
-    Known.push_back(*Pick);
-  }
+  // fleet that lost one another find together again; more while few are heard.
+  const std::size_t Strangers =
+      std::max<std::size_t>(1, m_Options.m_Fanout - Known.size());
+  std::sample(Unheard.begin(), Unheard.end(), std::back_inserter(Known),
+              Strangers, m_Random);
   return Known;
 }
 
 GossipMessage FleetView::beginRound(TimePoint Now) {
   ++m_Self.m_Beat;
-  GossipMessage Message{.m_To = pickReceivers(Now), .m_Records = {m_Self}};
-  std::vector<const VmRecord *> Others;
+  GossipMessage Message{.m_To = pickReceivers(Now)};
+  Message.m_News.m_Records.push_back(m_Self);
+  addRecords(Message.m_News, Now);
+  addBeats(Message.m_News, Now);
+  return Message;
+}
+
+Duration FleetView::roundInterval(TimePoint Now) const {
+  const bool HasNews =
+      std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
+        return isAlive(Each.second, Now) &&
+               Each.second.m_TimesSent < m_Options.m_RecordRepeats;
+      });
+  return HasNews ? m_Options.m_NewsInterval : m_Options.m_RoundInterval;
+}
+
+void FleetView::addRecords(GossipNews &News, TimePoint Now) {
+  std::vector<Peer *> Candidates;
+  for (auto &[Name, Each] : m_Peers)
+    if (isAlive(Each, Now))
+      Candidates.push_back(&Each);
+  std::shuffle(Candidates.begin(), Candidates.end(), m_Random);
+  std::stable_sort(Candidates.begin(), Candidates.end(),
+                   [](const Peer *Left, const Peer *Right) {
+                     return Left->m_TimesSent < Right->m_TimesSent;
+                   });
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    Peer &Each = *Candidates[I];
+    // Some that most know go along, for VMs that missed them.
+    const bool IsKnown = Each.m_TimesSent >= m_Options.m_RecordRepeats;
+    if (I >= m_Options.m_RecordsPerMessage ||
+        (IsKnown && I >= m_Options.m_KnownRecordsPerMessage))
+      break;
+    ++Each.m_TimesSent;
+    News.m_Records.push_back(Each.m_Record);
+  }
+}
+
+void FleetView::addBeats(GossipNews &News, TimePoint Now) {
+  std::vector<VmBeat> Beats;
   for (const auto &[Name, Each] : m_Peers)
     if (isAlive(Each, Now))
-      Others.push_back(&Each.m_Record);
-  std::shuffle(Others.begin(), Others.end(), m_Random);
-  const std::size_t Room = m_Options.m_RecordsPerMessage - 1;
-  for (std::size_t I = 0; I < std::min(Room, Others.size()); ++I)
-    Message.m_Records.push_back(*Others[I]);
-  return Message;
+      Beats.push_back({.m_Key = vmKey(Each.m_Record),
+                       .m_Beat = Each.m_Record.m_Beat});
+  std::shuffle(Beats.begin(), Beats.end(), m_Random);
+  const std::size_t Taken =
+      std::min(News.m_Records.size() * m_Options.m_BeatsPerRecord,
+               m_Options.m_BeatsPerMessage);
+  Beats.resize(std::min(Beats.size(), m_Options.m_BeatsPerMessage - Taken));
+  News.m_Beats = std::move(Beats);
 }
 
 GossipMessage FleetView::announce(TimePoint Now) {
   ++m_Self.m_Beat;
-  GossipMessage Message{.m_Records = {m_Self}};
+  GossipMessage Message;
+  Message.m_News.m_Records.push_back(m_Self);
   for (const VmRecord &Each : alivePeers(Now))
     Message.m_To.push_back(Each.m_GossipAddress);
   return Message;
 }
 
-std::vector<VmName> FleetView::receive(const std::vector<VmRecord> &Records,
-                                       TimePoint Now) {
+std::vector<VmName> FleetView::receive(const GossipNews &News, TimePoint Now) {
   std::vector<VmName> Found;
-  for (const VmRecord &Record : Records) {
-    if (Record.m_Vm == m_Self.m_Vm)
-      continue;
-    const auto Known = m_Peers.find(Record.m_Vm);
-    const bool IsNew = Known == m_Peers.end();
-    const bool IsRestart =
-        !IsNew && Record.m_StartedMs > Known->second.m_Record.m_StartedMs;
-    const bool IsLater =
-        !IsNew && Record.m_StartedMs == Known->second.m_Record.m_StartedMs &&
-        Record.m_Beat > Known->second.m_Record.m_Beat;
-    if (!IsNew && !IsRestart && !IsLater)
-      continue;
-    Peer &Entry = m_Peers[Record.m_Vm];
-    Entry.m_Record = Record;
-    Entry.m_HeardAt = Now;
-    m_HeardAnyAt = Now;
-    if (IsNew || IsRestart)
+  for (const VmRecord &Record : News.m_Records)
+    if (takeRecord(Record, Now))
       Found.push_back(Record.m_Vm);
-  }
+  for (const VmBeat &Beat : News.m_Beats)
+    takeBeat(Beat, Now);
   return Found;
 }
 
+bool FleetView::takeRecord(const VmRecord &Record, TimePoint Now) {
+  if (Record.m_Vm == m_Self.m_Vm)
+    return false;
+  const auto Known = m_Peers.find(Record.m_Vm);
+  const bool IsNew = Known == m_Peers.end();
+  const bool IsRestart =
+      !IsNew && Record.m_StartedMs > Known->second.m_Record.m_StartedMs;
+  const bool IsLater =
+      !IsNew && Record.m_StartedMs == Known->second.m_Record.m_StartedMs &&
+      Record.m_Beat > Known->second.m_Record.m_Beat;
+  if (!IsNew && !IsRestart && !IsLater)
+    return false;
+  Peer &Entry = m_Peers[Record.m_Vm];
+  if (Entry.m_Record.m_Phase != Record.m_Phase || IsNew || IsRestart)
+    Entry.m_TimesSent = 0;
+  Entry.m_Record = Record;
+  Entry.m_HeardAt = Now;
+  m_HeardAnyAt = Now;
+  m_ByKey[vmKey(Record)] = Record.m_Vm;
+  return IsNew || IsRestart;
+}
+
+void FleetView::takeBeat(const VmBeat &Beat, TimePoint Now) {
+  const auto Named = m_ByKey.find(Beat.m_Key);
+  if (Named == m_ByKey.end())
+    return; // Its record is still to come.
+  Peer &Entry = m_Peers.at(Named->second);
+  if (vmKey(Entry.m_Record) != Beat.m_Key ||
+      Beat.m_Beat <= Entry.m_Record.m_Beat)
+    return;
+  Entry.m_Record.m_Beat = Beat.m_Beat;
+  Entry.m_HeardAt = Now;
+  m_HeardAnyAt = Now;
+}
+
+Duration FleetView::lostAfter() const {
+  const auto Doublings = std::bit_width(m_Peers.size());
+  return m_Options.m_LostBase + m_Options.m_LostPerDoubling * Doublings;
+}
+
 bool FleetView::isAlive(const Peer &Of, TimePoint Now) const {
-  return Now - Of.m_HeardAt < m_Options.m_LostAfter;
+  return Now - Of.m_HeardAt < lostAfter();
 }
 
 bool FleetView::hearsAnybody(TimePoint Now) const {
@@ -109,8 +184,8 @@
       !hearsAnybody(Now) && Now - m_HeardAnyAt < m_Options.m_AloneAfter;
   for (const auto &[Name, Each] : m_Peers) {
     const bool IsUsable = isAlive(Each, Now) ||
-                          (IsCutOff && m_HeardAnyAt - Each.m_HeardAt <
-                                           m_Options.m_LostAfter);
+                          (IsCutOff &&
+                           m_HeardAnyAt - Each.m_HeardAt < lostAfter());
     if (IsUsable && Each.m_Record.m_Phase == VmPhase::Serving)
       Out.push_back(Each.m_Record);
   }
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -4,7 +4,8 @@
 /**
  * Which entry VMs run, by gossip: each VM raises a counter of its own and
  * passes on the highest counters that it has seen. A VM whose counter stands
- * still is taken for lost. Costs the same few datagrams a second at any size
+ * still is taken for lost. Whole records travel while they are new, counters
+ * in each message. Costs the same few datagrams a second at any size
  * of the fleet, needs no writes to the platform, and works while the platform
  * is away.
  */
@@ -43,24 +44,56 @@
   bool operator==(const VmRecord &) const = default;
 };
 
+/** A counter without the rest of its record. */
+struct VmBeat {
+  std::uint32_t m_Key = 0; ///< vmKey() of the VM's process.
+  std::uint64_t m_Beat = 0;
+
+  bool operator==(const VmBeat &) const = default;
+};
+
+/** What one message tells: whole records of VMs that others may not know
+ *  yet, and the counters of as many others as fit a datagram. */
+struct GossipNews {
+  std::vector<VmRecord> m_Records;
+  std::vector<VmBeat> m_Beats;
+
+  bool operator==(const GossipNews &) const = default;
+};
+
+/** Names one process of a VM in few bytes. */
+std::uint32_t vmKey(const VmRecord &Record);
+
 /** Times and sizes of gossip. */
 struct FleetViewOptions {
-  /** A VM whose counter stands still for so long is taken for lost; several
-   *  periods, since datagrams are lost and rounds take turns. */
-  Duration m_LostAfter = milliseconds(2200);
+  /** A VM whose counter stands still is taken for lost after a fixed time and
+   *  a round for each doubling of the fleet: so long a counter's way through
+   *  the fleet takes, with some datagrams lost. */
+  Duration m_LostBase = milliseconds(800);
+  Duration m_LostPerDoubling = milliseconds(400);
   /** A VM that hears nobody any more is most likely cut off itself: it names
    *  the others for so long before it names itself alone. */
   Duration m_AloneAfter = milliseconds(5000);
   /** A VM lost for so long no longer counts for shares of common limits. */
   Duration m_ForgetAfter = seconds(30);
-  std::size_t m_Fanout = 2;           ///< Peers that get each round's message.
-  std::size_t m_RecordsPerMessage = 12; ///< Keeps a message in one datagram.
+  std::size_t m_Fanout = 3;           ///< Peers that get each round's message.
+  /** Records beside the sender's own, and counters, that keep a message in
+   *  one datagram; each record takes the room of some counters. */
+  std::size_t m_RecordsPerMessage = 5;
+  std::size_t m_KnownRecordsPerMessage = 3; ///< Of those that most know.
+  std::size_t m_BeatsPerMessage = 120;
+  std::size_t m_BeatsPerRecord = 11;
+  /** A record is passed on so often before it counts as known to all. */
+  std::uint32_t m_RecordRepeats = 3;
+  Duration m_RoundInterval = milliseconds(400);
+  /** Between rounds while there are records that others may not know. */
+  Duration m_NewsInterval = milliseconds(150);
 };
 
 /** A message to send. */
 struct GossipMessage {
   std::vector<std::string> m_To; ///< Gossip addresses.
-  std::vector<VmRecord> m_Records;
+  GossipNews m_News;
 };
 
 /** The fleet as one VM sees it. Not thread-safe. */
@@ -72,9 +105,10 @@
 
   /** Begins a round: raises the own counter and says what to send. */
   GossipMessage beginRound(TimePoint Now);
+  /** How long after a round the next one is due. */
+  Duration roundInterval(TimePoint Now) const;
   /** Takes a message; returns the VMs that are new or started anew. */
-  std::vector<VmName> receive(const std::vector<VmRecord> &Records,
-                              TimePoint Now);
+  std::vector<VmName> receive(const GossipNews &News, TimePoint Now);
   /** Takes a VM that is known from elsewhere, as one to gossip with. */
   void addSeed(const std::string &GossipAddress);
   /** Sets what this VM says of itself. */
@@ -97,8 +131,14 @@
     VmRecord m_Record;
     TimePoint m_HeardAt; ///< When the counter rose last.
     bool m_WasAlive = true;
+    std::uint32_t m_TimesSent = 0; ///< Of the whole record, in this state.
   };
 
+  bool takeRecord(const VmRecord &Record, TimePoint Now);
+  void takeBeat(const VmBeat &Beat, TimePoint Now);
+  void addRecords(GossipNews &News, TimePoint Now);
+  void addBeats(GossipNews &News, TimePoint Now);
+  Duration lostAfter() const;
   bool isAlive(const Peer &Of, TimePoint Now) const;
   bool hearsAnybody(TimePoint Now) const;
   std::vector<std::string> pickReceivers(TimePoint Now);
@@ -108,6 +148,7 @@
   FleetViewOptions m_Options;
   std::minstd_rand m_Random;
   std::map<VmName, Peer> m_Peers;
+  std::map<std::uint32_t, VmName> m_ByKey;
   TimePoint m_HeardAnyAt;
 };
 
--- a/src/node/GossipSocket.h
+++ b/src/node/GossipSocket.h
@@ -26,6 +26,7 @@
   void announce();
 
 private:
+  void beginRound();
   void send(const GossipMessage &Message);
   void receive();
 
--- a/src/protocol/Gossip.capnp
+++ b/src/protocol/Gossip.capnp
@@ -18,6 +18,12 @@
   configVersion @8 :UInt64;
 }
 
+struct GossipBeat {
+  key @0 :UInt32;
+  beat @1 :UInt64;
+}
+
 struct Gossip {
   vms @0 :List(GossipVm);
+  beats @1 :List(GossipBeat);
 }
--- a/src/protocol/GossipCodec.cpp
+++ b/src/protocol/GossipCodec.cpp
@@ -52,32 +52,40 @@
 
 } // namespace
 
-std::string encodeGossip(const std::vector<VmRecord> &Records) {
+std::string encodeGossip(const GossipNews &News) {
   capnp::MallocMessageBuilder Message;
-  auto List = Message.initRoot<rpc::Gossip>().initVms(
-      static_cast<unsigned>(Records.size()));
-  for (unsigned I = 0; I < List.size(); ++I)
-    encodeVm(Records[I], List[I]);
+  auto Root = Message.initRoot<rpc::Gossip>();
+  auto Vms = Root.initVms(static_cast<unsigned>(News.m_Records.size()));
+  for (unsigned I = 0; I < Vms.size(); ++I)
+    encodeVm(News.m_Records[I], Vms[I]);
+  auto Beats = Root.initBeats(static_cast<unsigned>(News.m_Beats.size()));
+  for (unsigned I = 0; I < Beats.size(); ++I) {
+    Beats[I].setKey(News.m_Beats[I].m_Key);
+    Beats[I].setBeat(News.m_Beats[I].m_Beat);
+  }
   kj::VectorOutputStream Out;
   capnp::writePackedMessage(Out, Message);
   const auto Bytes = Out.getArray();
   return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
 }
 
-std::optional<std::vector<VmRecord>> decodeGossip(std::string_view Bytes) {
-  std::vector<VmRecord> Records;
+std::optional<GossipNews> decodeGossip(std::string_view Bytes) {
+  GossipNews News;
   const auto Failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream In(kj::arrayPtr(
         reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
     capnp::ReaderOptions Options;
     Options.traversalLimitInWords = MostWords;
     capnp::PackedMessageReader Message(In, Options);
-    for (const auto Vm : Message.getRoot<rpc::Gossip>().getVms())
-      Records.push_back(decodeVm(Vm));
+    const auto Root = Message.getRoot<rpc::Gossip>();
+    for (const auto Vm : Root.getVms())
+      News.m_Records.push_back(decodeVm(Vm));
+    for (const auto Beat : Root.getBeats())
+      News.m_Beats.push_back({.m_Key = Beat.getKey(), .m_Beat = Beat.getBeat()});
   });
-  if (Failure != nullptr || Records.empty())
+  if (Failure != nullptr || News.m_Records.empty())
     return std::nullopt;
-  return Records;
+  return News;
 }
 
 } // namespace figturn
--- a/src/protocol/GossipCodec.h
+++ b/src/protocol/GossipCodec.h
@@ -8,15 +8,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace figturn {
 
 /** The bytes of one datagram. */
-std::string encodeGossip(const std::vector<VmRecord> &Records);
+std::string encodeGossip(const GossipNews &News);
 
 /** Reads a datagram; none if it holds no gossip. */
-std::optional<std::vector<VmRecord>> decodeGossip(std::string_view Bytes);
+std::optional<GossipNews> decodeGossip(std::string_view Bytes);
 
 } // namespace figturn
 
--- /dev/null
+++ b/test/correctness/LogSinkTest.cpp
@@ -0,0 +1,77 @@
+/** Log lines neither block the process nor fill its memory. */
+
+#include "state/LogSink.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+#include <unistd.h>
+
+using namespace figturn;
+using namespace figturn::test;
+
+namespace {
+
+struct Fixture {
+  Fixture() {
+    BOOST_REQUIRE(::pipe(m_Pipe) == 0);
+    m_Sink.configure({.m_Descriptor = m_Pipe[1],
+                      .m_IsBuffered = true,
+                      .m_BufferLimit = 20000,
+                      .m_LinesPerSecond = 10});
+  }
+  ~Fixture() {
+    ::close(m_Pipe[0]);
+    ::close(m_Pipe[1]);
+  }
+  std::string read() {
+    std::string Out(1 << 20, '\0');
+    const auto Got = ::read(m_Pipe[0], Out.data(), Out.size());
+    Out.resize(static_cast<std::size_t>(std::max<ssize_t>(Got, 0)));
+    return Out;
+  }
+
+  int m_Pipe[2] = {-1, -1};
+  LogSink m_Sink{LogSinkOptions{}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LogSinkTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Lines_areWrittenTogetherAndInOrder) {
+  m_Sink.write("a\n");
+  m_Sink.write("b\n");
+  m_Sink.flush();
+  BOOST_TEST(read() == "a\nb\n");
+}
+
+BOOST_AUTO_TEST_CASE(Reader_thatDoesNotRead_neitherBlocksNorGrowsTheProcess) {
+  const std::string Line = std::string(99, 'x') + "\n";
+  for (int I = 0; I < 5000; ++I) // 500 kB; the pipe takes 64 kB.
+    m_Sink.write(Line);
+  const LogLosses Losses = m_Sink.losses();
+  BOOST_TEST(Losses.m_Dropped >= 4000U);
+  BOOST_TEST(Losses.m_Dropped < 5000U);
+  // What was kept are whole lines.
+  std::string All;
+  for (int I = 0; I < 40; ++I) {
+    All += read();
+    m_Sink.flush();
+    if (All.size() >= (5000 - Losses.m_Dropped) * 100)
+      break;
+  }
+  BOOST_TEST(All.size() == (5000 - Losses.m_Dropped) * 100);
+}
+
+BOOST_AUTO_TEST_CASE(Event_thatComesTooOften_isLeftOutAndCounted) {
+  int Admitted = 0;
+  for (int I = 0; I < 25; ++I)
+    Admitted += m_Sink.admit(711, Start) ? 1 : 0;
+  BOOST_TEST(Admitted == 10);
+  BOOST_TEST(m_Sink.admit(712, Start));
+  BOOST_TEST(m_Sink.admit(711, Start + seconds(1)));
+  BOOST_TEST(m_Sink.takeLeftOut(711) == 15U);
+  BOOST_TEST(m_Sink.takeLeftOut(711) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -0,0 +1,83 @@
+/** Hedge times, pauses of refused callers, weighted splits. */
+
+#include "coordination/HedgeTimer.h"
+#include "coordination/RetryAdvice.h"
+#include "coordination/WeightedRotation.h"
+#include "state/Errc.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+#include <array>
+
+using namespace figturn;
+using namespace figturn::test;
+
+namespace {
+
+struct Fixture {
+  HedgeTimer m_Timer{HedgeOptions{}, milliseconds(150)};
+  RetryAdvice m_Advice{RetryAdviceOptions{}, 1};
+
+  void record(int Count, milliseconds Latency) {
+    for (int I = 0; I < Count; ++I)
+      m_Timer.record(Latency, Start);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RoutedPolicyTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Hedge_withoutSamples_leavesMostOfTheObjective) {
+  BOOST_TEST((m_Timer.delay() == milliseconds(45)));
+}
+
+BOOST_AUTO_TEST_CASE(Hedge_followsTheUpperQuantileOfRecentCalls) {
+  record(90, milliseconds(20));
+  record(10, milliseconds(200));
+  BOOST_TEST((m_Timer.delay() >= milliseconds(20)));
+  BOOST_TEST((m_Timer.delay() <= milliseconds(24)));
+}
+
+BOOST_AUTO_TEST_CASE(Hedge_staysWithinItsPartsOfTheObjective) {
+  record(100, milliseconds(1));
+  BOOST_TEST((m_Timer.delay() == milliseconds(18)));
+  record(1000, milliseconds(400));
+  BOOST_TEST((m_Timer.delay() == milliseconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(Pause_staysWithinTheCallersTimeAndIsSpread) {
+  milliseconds Least = seconds(10);
+  milliseconds Most{0};
+  for (int I = 0; I < 200; ++I) {
+    const auto Pause = m_Advice.pause(Errc::TargetShed, seconds(4)).value();
+    Least = std::min(Least, Pause);
+    Most = std::max(Most, Pause);
+    BOOST_TEST(
+        (m_Advice.pause(Errc::NoTarget, milliseconds(400)).value() <=
+         milliseconds(120)));
+  }
+  BOOST_TEST((Least >= milliseconds(60)));
+  BOOST_TEST((Most <= milliseconds(180)));
+  BOOST_TEST((Most - Least > milliseconds(80)));
+}
+
+BOOST_AUTO_TEST_CASE(Pause_thatCantHelp_isNotAdvised) {
+  BOOST_TEST(!m_Advice.pause(Errc::DeadlineExceeded, seconds(1)));
+  BOOST_TEST(!m_Advice.pause(Errc::NoTarget, Duration(0)));
+}
+
+BOOST_AUTO_TEST_CASE(Rotation_givesEachServiceItsExactShare) {
+  const std::array<WeightedService, 3> Services{
+      WeightedService{ServiceName("a"), 5}, WeightedService{ServiceName("b"), 0},
+      WeightedService{ServiceName("c"), 15}};
+  WeightedRotation Rotation;
+  std::array<int, 3> Counts{};
+  for (int I = 0; I < 400; ++I)
+    ++Counts.at(Rotation.next(Services));
+  BOOST_TEST(Counts[0] == 100);
+  BOOST_TEST(Counts[1] == 0);
+  BOOST_TEST(Counts[2] == 300);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/correctness/TargetChooserTest.cpp
@@ -0,0 +1,130 @@
+/** Which replica gets a call. */
+
+#include "coordination/TargetChooser.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace figturn;
+using namespace figturn::test;
+
+namespace {
+
+struct Fixture {
+  std::vector<TargetPtr> m_Targets{makeTarget("home", "nz-south-a"),
+                                   makeTarget("far", "nz-south-b"),
+                                   makeTarget("farther", "nz-south-c")};
+  std::vector<TargetPtr> m_Tried;
+  std::set<DataCentreName> m_Closed;
+  int m_ColdRights = 0;
+  bool m_SingleRun = false;
+  TargetChooser m_Chooser{ChoiceCosts{}, 1};
+
+  Target &home() { return *m_Targets[0]; }
+  std::string choose(TimePoint Now = Start) {
+    const TargetPtr Chosen = m_Chooser.choose(
+        {.m_Candidates = m_Targets,
+         .m_Tried = m_Tried,
+         .m_Home = DataCentreName("nz-south-a"),
+         .m_SingleRun = m_SingleRun,
+         .m_IsOpen =
+             [this](const DataCentreName &Each) {
+               return !m_Closed.contains(Each);
+             },
+         .m_TakeColdRight =
+             [this](const Target &) { return m_ColdRights-- > 0; }},
+        Now);
+    return Chosen ? Chosen->m_Entry.m_Instance.m_Name.value() : "none";
+  }
+  /** How many of a hundred choices fall on the home replica. */
+  int homeShare(TimePoint Now = Start) {
+    int Sum = 0;
+    for (int I = 0; I < 100; ++I)
+      Sum += choose(Now) == "home" ? 1 : 0;
+    return Sum;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetChooserTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Replica_ofTheOwnDataCentre_isTakenWhileItKeepsUp) {
+  BOOST_TEST(homeShare() == 100);
+}
+
+BOOST_AUTO_TEST_CASE(Replica_withCallsWaiting_isLeft) {
+  for (std::uint64_t I = 0; I < 4; ++I)
+    home().m_Load.begin(I, Start + seconds(1));
+  BOOST_TEST(homeShare() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Replica_whoseCallIsOverdue_isLeftAtOnce) {
+  home().m_Load.begin(1, Start);
+  BOOST_TEST(homeShare() == 0);
+  home().m_Load.end(1, CallOutcome::Answered, 1, Start);
+  BOOST_TEST(homeShare() == 100);
+}
+
+BOOST_AUTO_TEST_CASE(Replica_thatRefusesHalfOfItsCalls_isLeft) {
+  for (std::uint64_t I = 0; I < 8; ++I) {
+    home().m_Load.begin(I, Start + seconds(1));
+    home().m_Load.end(
+        I, I % 2 == 0 ? CallOutcome::Refused : CallOutcome::Answered, 1, Start);
+  }
+  BOOST_TEST(homeShare() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Replica_thatWasLost_getsOneTrialAtATime) {
+  m_Targets.resize(1);
+  home().m_Load.begin(1, Start + seconds(1));
+  home().m_Load.end(1, CallOutcome::Lost, 1, Start);
+  BOOST_TEST(choose(Start + milliseconds(249)) == "none");
+  BOOST_TEST(choose(Start + milliseconds(250)) == "home");
+  home().m_Load.begin(2, Start + seconds(1));
+  BOOST_TEST(choose(Start + milliseconds(250)) == "none");
+}
+
+BOOST_AUTO_TEST_CASE(Request_thatMayRunOnce_isNoTrialWhileOthersWork) {
+  home().m_Load.begin(1, Start + seconds(1));
+  home().m_Load.end(1, CallOutcome::Lost, 1, Start);
+  const TimePoint Later = Start + seconds(20);
+  BOOST_TEST(homeShare(Later) == 100);
+  m_SingleRun = true;
+  BOOST_TEST(homeShare(Later) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Replica_ofAClosedDataCentre_isNeverTaken) {
+  m_Closed = {DataCentreName("nz-south-a"), DataCentreName("nz-south-b")};
+  BOOST_TEST(choose() == "farther");
+  m_Closed.insert(DataCentreName("nz-south-c"));
+  BOOST_TEST(choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(Replica_thatDrainsOrWasTriedOrIsAnother_isNeverTaken) {
+  home().m_Entry.m_Draining = true;
+  m_Targets[1]->m_Load.end(1, CallOutcome::Misdirected, 1, Start);
+  BOOST_TEST(choose() == "farther");
+  m_Tried = {m_Targets[2]};
+  BOOST_TEST(choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(Replica_whoseEntryVanished_isTheLastChoice) {
+  home().m_MissingSince = Start;
+  BOOST_TEST(homeShare() == 0);
+  m_Targets.resize(1);
+  BOOST_TEST(choose() == "home");
+}
+
+BOOST_AUTO_TEST_CASE(Replica_inColdStart_isTakenForLackOfOthersAndByRight) {
+  home().m_Entry.m_ColdUntil = Start + seconds(3);
+  BOOST_TEST(homeShare() == 0);
+  m_Targets.resize(1);
+  m_ColdRights = 1;
+  BOOST_TEST(choose() == "home");
+  BOOST_TEST(choose() == "none");
+  BOOST_TEST(choose(Start + seconds(3)) == "home");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/correctness/TargetLoadTest.cpp
@@ -0,0 +1,84 @@
+/** What a VM concludes about a target from its own calls. */
+
+#include "coordination/TargetLoad.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace figturn;
+using namespace figturn::test;
+
+namespace {
+
+struct Fixture {
+  TargetLoad m_Load;
+  std::uint64_t m_Next = 0;
+
+  void call(CallOutcome Outcome, TimePoint At, double Latency = 1) {
+    m_Load.begin(++m_Next, At + milliseconds(40));
+    m_Load.end(m_Next, Outcome, Latency, At);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetLoadTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Target_withoutNews_isOrdinary) {
+  BOOST_TEST(m_Load.slowness(Start) == 1);
+  BOOST_TEST(m_Load.failureShare(Start) == 0);
+  BOOST_TEST(!m_Load.isAvoided(Start));
+}
+
+BOOST_AUTO_TEST_CASE(Call_beyondItsTime_makesTheTargetOverdue) {
+  m_Load.begin(1, Start + milliseconds(40));
+  BOOST_TEST(!m_Load.isOverdue(Start + milliseconds(39)));
+  BOOST_TEST(m_Load.isOverdue(Start + milliseconds(40)));
+  m_Load.end(1, CallOutcome::Answered, 1, Start + milliseconds(50));
+  BOOST_TEST(!m_Load.isOverdue(Start + milliseconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(Slowness_fadesByHalfInItsHalfLife) {
+  for (int I = 0; I < 30; ++I)
+    call(CallOutcome::Answered, Start, 9);
+  const double Now = m_Load.slowness(Start) - 1;
+  BOOST_TEST(Now > 7.9);
+  BOOST_TEST(m_Load.slowness(Start + seconds(2)) - 1 == Now / 2,
+             boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(Refusals_countAsFailuresButNotAsUnreachable) {
+  for (int I = 0; I < 10; ++I)
+    call(CallOutcome::Refused, Start);
+  BOOST_TEST(m_Load.failureShare(Start) > 0.9);
+  BOOST_TEST(!m_Load.isAvoided(Start));
+  BOOST_TEST(!m_Load.isUnderTrial());
+}
+
+BOOST_AUTO_TEST_CASE(Avoidance_doublesWithEachLostCallUpToItsBound) {
+  call(CallOutcome::Lost, Start);
+  BOOST_TEST(m_Load.isAvoided(Start + milliseconds(249)));
+  BOOST_TEST(!m_Load.isAvoided(Start + milliseconds(250)));
+  call(CallOutcome::NotSent, Start);
+  BOOST_TEST(m_Load.isAvoided(Start + milliseconds(499)));
+  for (int I = 0; I < 10; ++I)
+    call(CallOutcome::Unanswered, Start);
+  BOOST_TEST(m_Load.isAvoided(Start + milliseconds(1999)));
+  BOOST_TEST(!m_Load.isAvoided(Start + milliseconds(2000)));
+  BOOST_TEST(m_Load.isUnderTrial());
+  call(CallOutcome::Answered, Start);
+  BOOST_TEST(!m_Load.isUnderTrial());
+}
+
+BOOST_AUTO_TEST_CASE(Call_givenUpByItsCaller_saysNothing) {
+  call(CallOutcome::Abandoned, Start);
+  BOOST_TEST(m_Load.failureShare(Start) == 0);
+  BOOST_TEST(m_Load.outstanding() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Address_ofAnotherProcess_isRememberedForGood) {
+  call(CallOutcome::Misdirected, Start);
+  BOOST_TEST(m_Load.isMisdirected());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/correctness/WatchSequenceTest.cpp
@@ -0,0 +1,93 @@
+/** Which calls follow the state of a kind of object in the store. */
+
+#include "coordination/WatchSequence.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace figturn;
+using namespace figturn::test;
+
+namespace {
+
+struct Fixture {
+  WatchSequence m_Sequence{WatchOptions{}, 1, Start};
+
+  bool isNext(StoreCall Call) const { return m_Sequence.next().m_Call == Call; }
+  Duration wait(TimePoint Now = Start) const {
+    return m_Sequence.next().m_At - Now;
+  }
+  void listAll(std::uint64_t Revision = 40) {
+    m_Sequence.onPage(Revision, false, "z", Start);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WatchSequenceTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Listing_isReadPageByPageAndWatchedFromItsFirst) {
+  BOOST_TEST(isNext(StoreCall::List));
+  m_Sequence.onPage(40, true, "m", Start);
+  BOOST_TEST(isNext(StoreCall::List));
+  BOOST_TEST(m_Sequence.next().m_ListAfter == "m");
+  BOOST_TEST(!m_Sequence.isComplete());
+  m_Sequence.onPage(45, false, "z", Start);
+  BOOST_TEST(isNext(StoreCall::Watch));
+  BOOST_TEST(m_Sequence.next().m_Revision == 40U);
+  BOOST_TEST(m_Sequence.isComplete());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_thatEndsWithoutChanges_isRearmedAtOnce) {
+  listAll();
+  m_Sequence.onWatched(50, false, Start);
+  BOOST_TEST(m_Sequence.next().m_Revision == 50U);
+  BOOST_TEST((wait() == Duration(0)));
+}
+
+BOOST_AUTO_TEST_CASE(Storm_ofChanges_costsFourCallsASecond) {
+  listAll();
+  m_Sequence.onWatched(50, true, Start);
+  BOOST_TEST((wait() == milliseconds(250)));
+}
+
+BOOST_AUTO_TEST_CASE(Revision_ofALateAnswer_neverTurnsTheWatchBack) {
+  listAll(40);
+  m_Sequence.onWatched(30, true, Start);
+  BOOST_TEST(m_Sequence.next().m_Revision == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(History_thatIsGone_isMadeUpForByAListing) {
+  listAll();
+  m_Sequence.onHistoryGone(Start);
+  BOOST_TEST(isNext(StoreCall::List));
+  BOOST_TEST(m_Sequence.isComplete());
+  BOOST_TEST(m_Sequence.isListing());
+}
+
+// A store that was about to drop its history took up a watch at its old
+// revision and never told of the changes before.
+BOOST_AUTO_TEST_CASE(Watch_thatWasCutOff_isFollowedByAListing) {
+  listAll();
+  m_Sequence.onFailure(Start);
+  BOOST_TEST(isNext(StoreCall::List));
+  BOOST_TEST(m_Sequence.next().m_ListAfter.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Failures_backOffUpToTheirBoundAndNotInStep) {
+  for (int I = 0; I < 10; ++I)
+    m_Sequence.onFailure(Start);
+  BOOST_TEST((wait() >= milliseconds(400)));
+  BOOST_TEST((wait() <= milliseconds(800)));
+  BOOST_TEST(m_Sequence.failuresInRow() == 10U);
+  m_Sequence.hurry(Start);
+  BOOST_TEST((wait() == Duration(0)));
+}
+
+BOOST_AUTO_TEST_CASE(Failure_withinAListing_readsThePageAgain) {
+  m_Sequence.onPage(40, true, "m", Start);
+  m_Sequence.onFailure(Start);
+  BOOST_TEST(m_Sequence.next().m_ListAfter == "m");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/support/LoadReplay.h
@@ -0,0 +1,361 @@
+#ifndef FIGTURN_TEST_SUPPORT_LOADREPLAY_H
+#define FIGTURN_TEST_SUPPORT_LOADREPLAY_H
+
+/**
+ * Replays a load pattern against the routed door's decisions in virtual time:
+ * VMs with their own view of the targets, targets with slots, queues and
+ * faults, searches that arrive at random. No socket, clock or thread.
+ */
+
+#include "coordination/CoverageRule.h"
+#include "coordination/ExtraLoadBudget.h"
+#include "coordination/HedgeTimer.h"
+#include "coordination/ReplicaRace.h"
+#include "coordination/TargetChooser.h"
+#include "support/RoutedTargets.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace figturn::test {
+
+/** What is replayed; rates and sizes are those of the users' sheets. */
+struct ReplayOptions {
+  std::size_t m_Vms = 15;
+  std::size_t m_Shards = 10;
+  double m_SearchesPerSecond = 135;
+  milliseconds m_Work{20};
+  milliseconds m_Objective{150};
+  milliseconds m_Deadline{800};
+  double m_LeastCoverage = 0.89;
+  seconds m_Length{30};
+  std::uint32_t m_MaxSends = 2;
+  double m_RetryRatio = 0.2;
+  double m_RetrySlack = 116;
+  bool m_Hedges = true;
+  /** Placement by results; otherwise at random. */
+  bool m_Places = true;
+  std::uint32_t m_Seed = 1;
+};
+
+/** A replica and its faults. */
+struct ReplayTarget {
+  TargetEntry m_Entry;
+  Duration m_PausePhase{};
+  bool m_Pauses = false; ///< 200 ms each 4.5 s.
+  double m_Slowness = 1;
+  double m_RefusedShare = 0;
+  bool m_IsDark = false; ///< Takes calls and never answers.
+  std::uint32_t m_Running = 0;
+  std::deque<std::function<void(TimePoint)>> m_Queue;
+  std::uint64_t m_Arrivals = 0;
+};
+
+/** What callers saw. */
+struct ReplayResult {
+  std::size_t m_Searches = 0;
+  std::size_t m_OnTime = 0;  ///< Answered within the objective.
+  std::size_t m_Complete = 0; ///< Of these, with all shards.
+  std::size_t m_Failed = 0;
+  std::uint64_t m_FirstCalls = 0;
+  std::uint64_t m_ExtraCalls = 0;
+
+  double onTime() const { return part(m_OnTime, m_Searches); }
+  double complete() const { return part(m_Complete, m_Searches); }
+  double extra() const { return part(m_ExtraCalls, m_FirstCalls); }
+
+private:
+  template <typename T> static double part(T Of, T All) {
+    return static_cast<double>(Of) / static_cast<double>(All);
+  }
+};
+
+/** The replay. */
+class LoadReplay {
+public:
+  explicit LoadReplay(const ReplayOptions &Options)
+      : m_Options(Options), m_Random(Options.m_Seed) {
+    const std::vector<std::string> DataCentres{"a", "b", "c"};
+    for (std::size_t Shard = 0; Shard < Options.m_Shards; ++Shard)
+      for (const std::string &DataCentre : DataCentres) {
+        auto Made = std::make_unique<ReplayTarget>();
+        Made->m_Entry = makeEntry(serviceName(Shard) + "-" + DataCentre,
+                                  serviceName(Shard), DataCentre);
+        Made->m_PausePhase = milliseconds(m_Random() % 4500);
+        m_Targets.push_back(std::move(Made));
+      }
+    for (std::size_t I = 0; I < Options.m_Vms; ++I)
+      m_Vms.push_back(std::make_unique<Vm>(*this, DataCentres[I % 3],
+                                           static_cast<std::uint32_t>(I + 1)));
+  }
+
+  std::vector<std::unique_ptr<ReplayTarget>> &targets() { return m_Targets; }
+
+  ReplayResult run() {
+    const TimePoint End = Start + m_Options.m_Length;
+    scheduleArrival(Start, End);
+    while (!m_Events.empty()) {
+      const auto First = m_Events.begin();
+      m_Now = First->first;
+      const auto Task = std::move(First->second);
+      m_Events.erase(First);
+      Task();
+    }
+    return m_Result;
+  }
+
+private:
+  static std::string serviceName(std::size_t Shard) {
+    return "shard-" + std::to_string(Shard);
+  }
+
+  /** One VM's view of targets, budgets and latencies. */
+  struct Vm final : public RaceWorld {
+    Vm(LoadReplay &Owner, const std::string &DataCentre, std::uint32_t Seed)
+        : m_Owner(Owner), m_Home(DataCentre), m_Chooser(ChoiceCosts{}, Seed),
+          m_Random(Seed) {
+      for (const auto &Each : Owner.m_Targets)
+        m_Registry.upsert(Each->m_Entry, Start);
+    }
+
+    TargetPtr choose(const ServiceName &Service, RouteKind,
+                     const std::vector<TargetPtr> &Tried,
+                     TimePoint Now) override {
+      const auto All = m_Registry.targets(Service);
+      if (!m_Owner.m_Options.m_Places) {
+        std::vector<TargetPtr> Left;
+        for (const TargetPtr &Each : All)
+          if (std::find(Tried.begin(), Tried.end(), Each) == Tried.end())
+            Left.push_back(Each);
+        return Left.empty() ? nullptr : Left[m_Random() % Left.size()];
+      }
+      return m_Chooser.choose(
+          {.m_Candidates = All,
+           .m_Tried = Tried,
+           .m_Home = m_Home,
+           .m_IsOpen = [](const DataCentreName &) { return true; },
+           .m_TakeColdRight = [](const Target &) { return false; }},
+          Now);
+    }
+    bool takeExtraCall(const ServiceName &Service, SendKind) override {
+      return budget(Service).trySpend();
+    }
+    void returnExtraCall(const ServiceName &Service) override {
+      budget(Service).refund();
+    }
+    ExtraLoadBudget &budget(const ServiceName &Service) {
+      const ReplayOptions &Options = m_Owner.m_Options;
+      const double Burst = std::max(
+          1.0, Options.m_RetrySlack / static_cast<double>(Options.m_Vms));
+      return m_Budgets.try_emplace(Service, Options.m_RetryRatio, Burst)
+          .first->second;
+    }
+
+    LoadReplay &m_Owner;
+    DataCentreName m_Home;
+    TargetRegistry m_Registry{TargetRegistryOptions{}};
+    TargetChooser m_Chooser;
+    HedgeTimer m_Hedges{HedgeOptions{}, m_Owner.m_Options.m_Objective};
+    std::map<ServiceName, ExtraLoadBudget> m_Budgets;
+    std::minstd_rand m_Random;
+  };
+
+  /** One search under way. */
+  struct Search {
+    Vm &m_Vm;
+    TimePoint m_At;
+    CoverageRule m_Rule;
+    std::vector<ReplicaRace> m_Races;
+    bool m_Done = false;
+  };
+  using SearchPtr = std::shared_ptr<Search>;
+
+  void at(TimePoint When, std::function<void()> Task) {
+    m_Events.emplace(When, std::move(Task));
+  }
+
+  void scheduleArrival(TimePoint After, TimePoint End) {
+    std::exponential_distribution<double> Gap(m_Options.m_SearchesPerSecond);
+    const TimePoint When =
+        After + std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(Gap(m_Random)));
+    if (When < End)
+      at(When, [this, When, End] {
+        scheduleArrival(When, End);
+        begin();
+      });
+  }
+
+  void begin() {
+    Vm &On = *m_Vms[m_Random() % m_Vms.size()];
+    ++m_Result.m_Searches;
+    const auto Run = std::make_shared<Search>(Search{
+        .m_Vm = On,
+        .m_At = m_Now,
+        .m_Rule = CoverageRule(
+            {.m_LeastCoverage = m_Options.m_LeastCoverage,
+             .m_OnTimeUntil =
+                 m_Now + m_Options.m_Objective - milliseconds(12),
+             .m_Deadline = m_Now + m_Options.m_Deadline})});
+    const TimePoint HedgeAt = m_Options.m_Hedges
+                                  ? m_Now + On.m_Hedges.delay()
+                                  : TimePoint::max();
+    for (std::size_t I = 0; I < m_Options.m_Shards; ++I) {
+      const ServiceName Service(serviceName(I));
+      On.budget(Service).earn(1);
+      Run->m_Races.push_back(ReplicaRace({.m_Service = Service,
+                                          .m_MaxSends = m_Options.m_MaxSends,
+                                          .m_HedgeAt = HedgeAt}));
+    }
+    for (std::size_t I = 0; I < m_Options.m_Shards; ++I)
+      if (const auto First = Run->m_Races[I].start(On, m_Now))
+        send(Run, I, *First);
+    if (m_Options.m_Hedges)
+      at(HedgeAt, [this, Run] {
+        for (std::size_t I = 0; I < Run->m_Races.size() && !Run->m_Done; ++I)
+          if (const auto Hedge = Run->m_Races[I].onHedgeTime(Run->m_Vm, m_Now))
+            send(Run, I, *Hedge);
+      });
+    wake(Run);
+  }
+
+  void wake(const SearchPtr &Run) {
+    decide(Run);
+    if (Run->m_Done)
+      return;
+    at(Run->m_Rule.nextTime(m_Now), [this, Run] {
+      if (!Run->m_Done)
+        wake(Run);
+    });
+  }
+
+  void decide(const SearchPtr &Run) {
+    SearchProgress Progress{.m_Shards = Run->m_Races.size()};
+    for (const ReplicaRace &Each : Run->m_Races) {
+      Progress.m_Answered += Each.isWon() ? 1 : 0;
+      Progress.m_Lost += Each.isOver() && !Each.isWon() ? 1 : 0;
+    }
+    const SearchStep Step = Run->m_Rule.decide(Progress, m_Now);
+    if (Run->m_Done || Step == SearchStep::Wait)
+      return;
+    Run->m_Done = true;
+    if (Step == SearchStep::Fail) {
+      ++m_Result.m_Failed;
+      return;
+    }
+    const bool IsOnTime = m_Now - Run->m_At <= m_Options.m_Objective;
+    m_Result.m_OnTime += IsOnTime ? 1 : 0;
+    m_Result.m_Complete +=
+        IsOnTime && Progress.m_Answered == Progress.m_Shards ? 1 : 0;
+  }
+
+  void send(const SearchPtr &Run, std::size_t Shard, const RaceSend &Send) {
+    (Send.m_Kind == SendKind::First ? m_Result.m_FirstCalls
+                                    : m_Result.m_ExtraCalls)++;
+    const std::uint64_t Call = ++m_NextCall;
+    const TimePoint SentAt = m_Now;
+    Vm &On = Run->m_Vm;
+    Send.m_Target->m_Load.begin(Call, m_Now + On.m_Hedges.delay());
+    const Duration Usual = On.m_Hedges.typical();
+    auto Ended = std::make_shared<bool>(false);
+    const auto End = [this, Run, Shard, Call, SentAt, Usual, Ended, &On,
+                      To = Send.m_Target](CallOutcome Outcome) {
+      if (std::exchange(*Ended, true))
+        return;
+      const Duration Took = m_Now - SentAt;
+      To->m_Load.end(Call, Outcome,
+                     std::chrono::duration<double>(Took) /
+                         std::chrono::duration<double>(Usual),
+                     m_Now);
+      if (Outcome == CallOutcome::Answered)
+        On.m_Hedges.record(Took, m_Now);
+      if (Run->m_Done)
+        return;
+      if (const auto Next = Run->m_Races[Shard].onOutcome(To, Outcome, On, m_Now))
+        send(Run, Shard, *Next);
+      decide(Run);
+    };
+    at(Run->m_At + m_Options.m_Deadline,
+       [End] { End(CallOutcome::Unanswered); });
+    arrive(targetOf(*Send.m_Target), End);
+  }
+
+  ReplayTarget &targetOf(const Target &Known) {
+    return **std::find_if(
+        m_Targets.begin(), m_Targets.end(), [&](const auto &Each) {
+          return Each->m_Entry.m_Instance == Known.m_Entry.m_Instance;
+        });
+  }
+
+  void arrive(ReplayTarget &At, std::function<void(CallOutcome)> End) {
+    constexpr std::size_t QueueLimit = 24;
+    ++At.m_Arrivals;
+    if (At.m_IsDark)
+      return;
+    const bool Refuses =
+        std::uniform_real_distribution<double>(0, 1)(m_Random) <
+            At.m_RefusedShare ||
+        At.m_Queue.size() >= QueueLimit;
+    if (Refuses) {
+      at(m_Now + milliseconds(1), [End] { End(CallOutcome::Refused); });
+      return;
+    }
+    At.m_Queue.emplace_back([this, &At, End](TimePoint Began) {
+      const TimePoint Done = afterPauses(At, Began, work(At));
+      at(Done, [this, &At, End] {
+        --At.m_Running;
+        End(CallOutcome::Answered);
+        startNext(At);
+      });
+    });
+    startNext(At);
+  }
+
+  void startNext(ReplayTarget &At) {
+    while (At.m_Running < At.m_Entry.m_Slots && !At.m_Queue.empty()) {
+      ++At.m_Running;
+      const auto Next = std::move(At.m_Queue.front());
+      At.m_Queue.pop_front();
+      Next(m_Now);
+    }
+  }
+
+  Duration work(const ReplayTarget &At) {
+    std::normal_distribution<double> Spread(0, 0.35);
+    const double Factor = std::exp(Spread(m_Random)) * At.m_Slowness;
+    return std::chrono::duration_cast<Duration>(
+        Factor * std::chrono::duration<double>(m_Options.m_Work));
+  }
+
+  /** When \p Length of work is done that stands still during pauses. */
+  static TimePoint afterPauses(const ReplayTarget &At, TimePoint Began,
+                               Duration Length) {
+    constexpr Duration Pause = milliseconds(200);
+    constexpr Duration Every = milliseconds(4500);
+    if (!At.m_Pauses)
+      return Began + Length;
+    const Duration Into = (Began - Start + At.m_PausePhase) % Every;
+    if (Into < Pause)
+      return Began + (Pause - Into) + Length;
+    return Into + Length > Every ? Began + Length + Pause : Began + Length;
+  }
+
+  ReplayOptions m_Options;
+  std::mt19937 m_Random;
+  std::vector<std::unique_ptr<ReplayTarget>> m_Targets;
+  std::vector<std::unique_ptr<Vm>> m_Vms;
+  std::multimap<TimePoint, std::function<void()>> m_Events;
+  TimePoint m_Now;
+  std::uint64_t m_NextCall = 0;
+  ReplayResult m_Result;
+};
+
+} // namespace figturn::test
+
+#endif // FIGTURN_TEST_SUPPORT_LOADREPLAY_H
