Play the routed door end to end against stand-ins of the platform

Change: stand-ins of store and targets written from the published protocol, apart from platform/; 19 process cases: merging, coverage, single runs, answers that are cut, unframed or another's, 421, forged entries, leaving callers, configuration changes, a watch that missed one, a start from another VM's copy, directory, planned stop, settings, metrics.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -176,19 +176,22 @@
   });
 }
 
+bool FleetView::isHandedOut(const Peer &Of, TimePoint Now) const {
+  if (Of.m_Record.m_Phase != VmPhase::Serving)
+    return false;
+  const bool IsCutOff =
+      !hearsAnybody(Now) && Now - m_HeardAnyAt < m_Options.m_AloneAfter;
+  return isAlive(Of, Now) ||
+         (IsCutOff && m_HeardAnyAt - Of.m_HeardAt < lostAfter());
+}
+
 std::vector<VmRecord> FleetView::serving(TimePoint Now) const {
   std::vector<VmRecord> Out;
   if (m_Self.m_Phase == VmPhase::Serving)
     Out.push_back(m_Self);
-  const bool IsCutOff =
-      !hearsAnybody(Now) && Now - m_HeardAnyAt < m_Options.m_AloneAfter;
-  for (const auto &[Name, Each] : m_Peers) {
-    const bool IsUsable = isAlive(Each, Now) ||
-                          (IsCutOff &&
-                           m_HeardAnyAt - Each.m_HeardAt < lostAfter());
-    if (IsUsable && Each.m_Record.m_Phase == VmPhase::Serving)
+  for (const auto &[Name, Each] : m_Peers)
+    if (isHandedOut(Each, Now))
       Out.push_back(Each.m_Record);
-  }
   return Out;
 }
 
@@ -208,12 +211,12 @@
   return Out;
 }
 
-std::vector<VmName> FleetView::takeChanges(TimePoint Now) {
-  std::vector<VmName> Changed;
+std::vector<VmChange> FleetView::takeChanges(TimePoint Now) {
+  std::vector<VmChange> Changed;
   for (auto &[Name, Each] : m_Peers) {
-    const bool Alive = isAlive(Each, Now);
-    if (std::exchange(Each.m_WasAlive, Alive) != Alive)
-      Changed.push_back(Name);
+    const bool Serves = isHandedOut(Each, Now);
+    if (std::exchange(Each.m_WasServing, Serves) != Serves)
+      Changed.push_back({.m_Vm = Name, .m_Serves = Serves});
   }
   return Changed;
 }
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -64,6 +64,12 @@
 /** Names one process of a VM in few bytes. */
 std::uint32_t vmKey(const VmRecord &Record);
 
+/** A VM that began or ceased to be handed out to callers. */
+struct VmChange {
+  VmName m_Vm;
+  bool m_Serves = false;
+};
+
 /** Times and sizes of gossip. */
 struct FleetViewOptions {
   /** A VM whose counter stands still is taken for lost after a fixed time and
@@ -122,15 +128,15 @@
   std::vector<VmName> sharers(TimePoint Now) const;
   /** VMs whose counters rise, this one left out. */
   std::vector<VmRecord> alivePeers(TimePoint Now) const;
-  /** VMs that went from alive to lost or back since the last call. */
-  std::vector<VmName> takeChanges(TimePoint Now);
+  /** VMs that began or ceased to be handed out since the last call. */
+  std::vector<VmChange> takeChanges(TimePoint Now);
   const VmRecord &self() const { return m_Self; }
 
 private:
   struct Peer {
     VmRecord m_Record;
     TimePoint m_HeardAt; ///< When the counter rose last.
-    bool m_WasAlive = true;
+    bool m_WasServing = false; ///< At the last takeChanges().
     std::uint32_t m_TimesSent = 0; ///< Of the whole record, in this state.
   };
 
@@ -141,6 +147,7 @@
   Duration lostAfter() const;
   bool isAlive(const Peer &Of, TimePoint Now) const;
   bool hearsAnybody(TimePoint Now) const;
+  bool isHandedOut(const Peer &Of, TimePoint Now) const;
   std::vector<std::string> pickReceivers(TimePoint Now);
 
   VmRecord m_Self;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -234,9 +234,9 @@
              Version, 0);
     m_Gossip.announce();
   }
-  for (const VmName &Changed : m_Fleet.takeChanges(Now))
-    logEvent(Event::VmLivenessChanged, "vm={} alive={}", Changed,
-             m_Fleet.alivePeers(Now).size());
+  for (const VmChange &Each : m_Fleet.takeChanges(Now))
+    logEvent(Event::VmLivenessChanged, "vm={} serves={} others_alive={}",
+             Each.m_Vm, Each.m_Serves, m_Fleet.alivePeers(Now).size());
   if (const std::size_t Sharers = m_Fleet.sharers(Now).size();
       std::exchange(m_SharerCount, Sharers) != Sharers)
     m_World.updateShares(Now);
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -131,6 +131,7 @@
 BOOST_AUTO_TEST_CASE(Vm_startedAnew_isTakenWithItsLowerCounter) {
   setFleet(3);
   runRounds(10);
+  m_Vms[0]->takeChanges(m_Now);
   m_Vms[2] = std::make_unique<FleetView>(
       makeVm(2, 2), std::vector<std::string>{"g-vm-0"}, FleetViewOptions{}, 9);
   runRounds(4);
--- /dev/null
+++ b/test/process/RoutedDoorTest.cpp
@@ -0,0 +1,313 @@
+// The routed door from end to end: real processes, the platform's stand-ins.
+
+#include "support/RoutedFleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace figturn;
+using namespace figturn::test;
+using figturn::standin::PlainReply;
+using figturn::standin::PlainRequest;
+using figturn::standin::SearcherStandin;
+
+namespace {
+
+struct Fixture {
+  Fixture() {
+    m_Fleet.publish(routedConfig(3));
+    m_Left = &m_Fleet.addSearcher("i-left", "s-0");
+    m_Right = &m_Fleet.addSearcher("i-right", "s-1");
+    m_Desk = &m_Fleet.addSearcher("i-desk", "desk");
+    m_Vm = &m_Fleet.startVm();
+  }
+
+  RoutedAnswer get(const std::string &Target, const std::string &Id = "q-1",
+                   int DeadlineMs = 3000) {
+    return RoutedFleet::call(m_Vm->m_Caller, "GET", Target,
+                             RoutedFleet::requestHeaders(Id, DeadlineMs));
+  }
+  RoutedAnswer book(const std::string &Id) {
+    return RoutedFleet::call(m_Vm->m_Caller, "POST", "/book/a?b=c",
+                             RoutedFleet::requestHeaders(Id), "order");
+  }
+  void script(SearcherStandin &Of,
+              std::function<void(const PlainRequest &, PlainReply)> OnRun) {
+    m_Fleet.onThread([&] { Of.m_OnRun = std::move(OnRun); });
+  }
+  std::size_t runs(SearcherStandin &Of) {
+    std::size_t Count = 0;
+    m_Fleet.onThread([&] { Count = Of.m_Runs.size(); });
+    return Count;
+  }
+
+  RoutedFleet m_Fleet;
+  SearcherStandin *m_Left = nullptr;
+  SearcherStandin *m_Right = nullptr;
+  SearcherStandin *m_Desk = nullptr;
+  RoutedFleet::Vm *m_Vm = nullptr;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RoutedDoorTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Search_overTwoShards_isMergedWithBothSignatures) {
+  m_Fleet.onThread([&] {
+    m_Left->m_Body = "aaaaaaaaaaaaaaaacccccccccccccccc";
+    m_Right->m_Body = "bbbbbbbbbbbbbbbbtrailing";
+  });
+  const RoutedAnswer Answer = get("/search/x", "q-7");
+  BOOST_TEST(Answer.m_Status == 200U);
+  BOOST_TEST(Answer.m_Body ==
+             "ccccccccccccccccbbbbbbbbbbbbbbbbaaaaaaaaaaaaaaaa");
+  BOOST_TEST(Answer.header("X-Missing-Parts") == "0");
+  const std::string Stamps = Answer.header("X-Part-Stamps");
+  BOOST_TEST(Stamps.find("stamp-i-left-q-7") != std::string::npos);
+  BOOST_TEST(Stamps.find("stamp-i-right-q-7") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Search_withoutOneShard_saysSoOrIsRefusedUnrun) {
+  script(*m_Right, [](const PlainRequest &, PlainReply Reply) {
+    Reply.send(500, "", "X-Server-Stamp: s\r\n");
+  });
+  const RoutedAnswer Partial = get("/search/x");
+  BOOST_TEST(Partial.m_Status == 200U);
+  BOOST_TEST(Partial.header("X-Missing-Parts") == "1");
+  m_Fleet.onThread([&] {
+    m_Fleet.m_Store->put("servers", "i-left", m_Left->entry("draining"));
+    m_Fleet.m_Store->put("servers", "i-right", m_Right->entry("draining"));
+  });
+  BOOST_TEST(m_Vm->m_Process
+                 ->waitForLine("F0612", "target=i-right draining=true")
+                 .has_value());
+  const std::size_t Before = runs(*m_Left);
+  const RoutedAnswer Refused = get("/search/x");
+  BOOST_TEST(Refused.m_Status == 503U);
+  BOOST_TEST(!Refused.header("Retry-After").empty());
+  BOOST_TEST(runs(*m_Left) == Before);
+}
+
+BOOST_AUTO_TEST_CASE(Request_isPassedOnUnchangedAndItsAnswerToo) {
+  const RoutedAnswer Answer = book("b-1");
+  BOOST_TEST(Answer.m_Status == 200U);
+  BOOST_TEST(Answer.header("X-Server-Stamp") == "stamp-i-desk-b-1");
+  PlainRequest Got;
+  m_Fleet.onThread([&] { Got = m_Desk->m_Runs.at(0); });
+  BOOST_TEST(Got.m_Method == "POST");
+  BOOST_TEST(Got.m_Path == "/book/a");
+  BOOST_TEST(Got.m_Query.at("b") == "c");
+  BOOST_TEST(Got.m_Body == "order");
+  BOOST_TEST(Got.header("host") == "h.example");
+  BOOST_TEST(std::stoi(Got.header("x-deadline-milliseconds")) <= 3000);
+}
+
+BOOST_AUTO_TEST_CASE(SingleRun_whoseAnswerIsLost_isNeitherRepeatedNorDenied) {
+  m_Fleet.addSearcher("i-desk-2", "desk");
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2")
+                 .has_value());
+  for (SearcherStandin *Each : {m_Desk, m_Fleet.m_Searchers.back().get()})
+    script(*Each, [](const PlainRequest &, PlainReply Reply) { Reply.reset(); });
+  const RoutedAnswer Answer = book("b-2");
+  BOOST_TEST(Answer.m_Status == 502U);
+  BOOST_TEST(runs(*m_Desk) + runs(*m_Fleet.m_Searchers.back()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SingleRun_thatATargetRefused_runsAtAnother) {
+  m_Fleet.addSearcher("i-desk-2", "desk");
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2")
+                 .has_value());
+  script(*m_Desk, [](const PlainRequest &, PlainReply Reply) {
+    Reply.send(503, "", "X-Not-Executed: 1\r\n");
+  });
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(book("b-" + std::to_string(I)).m_Status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_cutByAReset_isNotTakenForWhole) {
+  script(*m_Desk, [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.sendRaw("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " +
+                  Request.header("x-request-id") + "\r\n\r\nhalf of the bo");
+    Reply.reset();
+  });
+  BOOST_TEST(book("b-3").m_Status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_withoutALength_isWholeOnceItsConnectionCloses) {
+  script(*m_Desk, [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.sendRaw("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " +
+                  Request.header("x-request-id") + "\r\n\r\nwhole");
+    Reply.close();
+  });
+  const RoutedAnswer Answer = book("b-4");
+  BOOST_TEST(Answer.m_Status == 200U);
+  BOOST_TEST(Answer.m_Body == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(Answer_toAnotherRequest_isDropped) {
+  script(*m_Desk, [this](const PlainRequest &Request, PlainReply Reply) {
+    Reply.send(200, "of another",
+               "X-Request-Id: other\r\nX-Server-Stamp: s\r\n");
+    m_Desk->answer(Request, Reply);
+  });
+  const RoutedAnswer Answer = book("b-5");
+  BOOST_TEST(Answer.m_Status == 200U);
+  BOOST_TEST(Answer.m_Body == "0123456789abcdef");
+}
+
+BOOST_AUTO_TEST_CASE(Address_ofAnotherProcess_isLeftAndRunsNothing) {
+  m_Fleet.onThread([&] {
+    m_Fleet.m_Store->put("servers", "i-gone", m_Desk->entry());
+    m_Fleet.m_Store->put("servers", "i-desk", m_Desk->entry("draining"));
+  });
+  BOOST_TEST(m_Vm->m_Process
+                 ->waitForLine("F0612", "target=i-desk draining=true")
+                 .has_value());
+  const RoutedAnswer Answer = book("b-6");
+  BOOST_TEST(Answer.m_Status == 503U);
+  BOOST_TEST(runs(*m_Desk) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_thatCantBeRead_namesNoTarget) {
+  QJsonObject Forged = m_Desk->entry();
+  Forged["slots"] = "four";
+  m_Fleet.onThread(
+      [&] { m_Fleet.m_Store->put("servers", "i-forged", Forged); });
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0804", "name=i-forged field=slots")
+                 .has_value());
+  BOOST_TEST(book("b-7").m_Status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(Caller_thatLeaves_hasItsCallCancelled) {
+  script(*m_Desk, [](const PlainRequest &, PlainReply) {});
+  RawClient Client(m_Vm->m_Caller);
+  Client.send("GET /look/x HTTP/1.1\r\nHost: h.example\r\n" +
+              RoutedFleet::requestHeaders("l-1") + "\r\n");
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0711", "id=l-1").has_value());
+  Client.close();
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0717", "id=l-1").has_value());
+  BOOST_TEST(m_Vm->m_Process
+                 ->waitForLine("F0717", "cancelled=1")
+                 .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Configuration_thatChanges_comesInForceAndStays) {
+  BOOST_TEST(get("/new/x").m_Status == 404U);
+  QJsonObject Changed = routedConfig(5);
+  QJsonArray Routes = Changed["routes"].toArray();
+  QJsonObject Added = Routes[1].toObject();
+  Added["name"] = "added";
+  Added["path_prefix"] = "/new/";
+  Routes.append(Added);
+  Changed["routes"] = Routes;
+  m_Fleet.publish(Changed);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0250", "version=5").has_value());
+  BOOST_TEST(get("/new/x").m_Status == 200U);
+  // An older version that is written again changes nothing.
+  m_Fleet.publish(routedConfig(4));
+  m_Fleet.publish(routedConfig(6));
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0250", "version=6").has_value());
+  BOOST_TEST(!m_Vm->m_Process->lines().empty());
+  for (const std::string &Line : m_Vm->m_Process->lines())
+    BOOST_TEST(Line.find("config-in-force version=4") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Change_thatAWatchMissed_isReadAfterItsCut) {
+  m_Fleet.onThread([&] {
+    m_Fleet.m_Store->m_WatchesAreDeaf = true;
+    m_Fleet.m_Store->put("config", "main", routedConfig(8));
+    m_Fleet.m_Store->cutConnections();
+  });
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0250", "version=8").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Vm_whoseStoreIsDown_startsFromAnotherVmsCopy) {
+  m_Fleet.onThread([&] { m_Fleet.m_Store->m_IsDown = true; });
+  const RoutedFleet::Vm &Second = m_Fleet.startVm();
+  BOOST_TEST(Second.m_Process->waitForLine("F0204", "from=vm-1").has_value());
+  const RoutedAnswer Answer =
+      RoutedFleet::call(Second.m_Caller, "GET", "/look/x",
+                        RoutedFleet::requestHeaders("c-1"), "", Second.m_Host);
+  BOOST_TEST(Answer.m_Status == 200U);
+  // A VM that can't ask the store can't tell that a route doesn't exist.
+  BOOST_TEST(RoutedFleet::call(Second.m_Caller, "GET", "/none/x",
+                               RoutedFleet::requestHeaders("c-2"), "",
+                               Second.m_Host)
+                 .m_Status == 503U);
+}
+
+BOOST_AUTO_TEST_CASE(Vms_findEachOtherAndNameBoth) {
+  const RoutedFleet::Vm &Second = m_Fleet.startVm();
+  const std::string Added = fmt::format("127.0.0.2:{}", Second.m_Caller);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=true")
+                 .has_value());
+  BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
+                 .m_Body.find(Added) != std::string::npos);
+  Second.m_Process->signal(SIGKILL);
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=false").has_value());
+  BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
+                 .m_Body.find(Added) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Directory_andReadiness_followTheVmsState) {
+  const RoutedAnswer Listed = RoutedFleet::call(
+      m_Vm->m_Directory, "GET", "/api/resolve?name=h.example&zone=dc-a");
+  BOOST_TEST(Listed.m_Status == 200U);
+  BOOST_TEST(Listed.m_Body.find(fmt::format("127.0.0.1:{}", m_Vm->m_Caller)) !=
+             std::string::npos);
+  BOOST_TEST(RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness")
+                 .m_Status == 200U);
+  m_Vm->m_Process->signal(SIGTERM);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0103").has_value());
+  BOOST_TEST(RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness")
+                 .m_Status == 503U);
+  BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
+                 .m_Status == 503U);
+}
+
+BOOST_AUTO_TEST_CASE(PlannedStop_cutsNoRequestThatWasTaken) {
+  m_Fleet.onThread([&] { m_Desk->m_Delay = std::chrono::milliseconds(600); });
+  RawClient Kept(m_Vm->m_Caller);
+  Kept.send("GET /look/x HTTP/1.1\r\nHost: h.example\r\n" +
+            RoutedFleet::requestHeaders("k-1") + "\r\n");
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0711", "id=k-1").has_value());
+  m_Vm->m_Process->signal(SIGTERM);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0103").has_value());
+  // Callers that hold the address still are served during the stop.
+  BOOST_TEST(get("/look/y", "k-2").m_Status == 200U);
+  const auto Answer = Kept.receive();
+  BOOST_TEST(Answer.has_value());
+  BOOST_TEST(Answer->m_Status == 200U);
+  BOOST_TEST((m_Vm->m_Process->waitForExit() == 0));
+}
+
+BOOST_AUTO_TEST_CASE(Settings_thatChange_areReadAgainOrLeft) {
+  const std::string File =
+      m_Fleet.m_Folder.filePath("vm-1").toStdString();
+  m_Fleet.writeSettings(*m_Vm, File, 3);
+  m_Vm->m_Process->signal(SIGHUP);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0107").has_value());
+  QFile Broken(QString::fromStdString(File));
+  BOOST_TEST(Broken.open(QIODevice::WriteOnly));
+  Broken.write("{\"door\": \"routed\"}");
+  Broken.close();
+  m_Vm->m_Process->signal(SIGHUP);
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0108").has_value());
+  BOOST_TEST(book("b-8").m_Status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(Metrics_andStatus_tellOfRequests) {
+  get("/look/x");
+  const std::string Metrics =
+      RoutedFleet::call(m_Vm->m_Control, "GET", "/metrics").m_Body;
+  BOOST_TEST(Metrics.find("figturn_answers_total{route=\"look\"} 1\n") !=
+             std::string::npos);
+  BOOST_TEST(Metrics.find("figturn_config_version 3\n") != std::string::npos);
+  const QJsonObject Status = parseJsonObject(
+      RoutedFleet::call(m_Vm->m_Control, "GET", "/v1/status").m_Body);
+  BOOST_TEST(Status["ready"].toBool());
+  BOOST_TEST(Status["targets"].toArray().size() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/standin/RoutedStandins.cpp
@@ -0,0 +1,298 @@
+#include "standin/RoutedStandins.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QPointer>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+namespace figturn::standin {
+
+namespace {
+
+std::string compact(const QJsonObject &Object) {
+  return QJsonDocument(Object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+QJsonObject parse(const std::string &Text) {
+  return QJsonDocument::fromJson(QByteArray::fromStdString(Text)).object();
+}
+
+QString qt(const std::string &Text) { return QString::fromStdString(Text); }
+
+} // namespace
+
+std::string PlainRequest::header(const std::string &Name) const {
+  const auto Found = m_Headers.find(Name);
+  return Found == m_Headers.end() ? "" : Found->second;
+}
+
+void PlainReply::send(unsigned Status, const std::string &Body,
+                      const std::string &Headers) const {
+  sendRaw(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n{}\r\n{}", Status,
+                      Body.size(), Headers, Body));
+}
+
+void PlainReply::sendRaw(const std::string &Bytes) const {
+  if (!isOpen())
+    return;
+  m_Socket->write(Bytes.data(), static_cast<qint64>(Bytes.size()));
+  m_Socket->flush();
+}
+
+void PlainReply::close() const {
+  if (isOpen())
+    m_Socket->disconnectFromHost();
+}
+
+void PlainReply::reset() const {
+  if (!isOpen())
+    return;
+  const linger Now{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(static_cast<int>(m_Socket->socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &Now, sizeof(Now));
+  m_Socket->abort();
+}
+
+bool PlainReply::isOpen() const {
+  return m_Socket && m_Socket->state() == QAbstractSocket::ConnectedState;
+}
+
+PlainServer::PlainServer(Handler OnRequest) : m_Handler(std::move(OnRequest)) {
+  m_Server.listen(QHostAddress::LocalHost);
+  QObject::connect(&m_Server, &QTcpServer::newConnection, &m_Server,
+                   [this] { accept(); });
+}
+
+std::string PlainServer::address() const {
+  return fmt::format("127.0.0.1:{}", port());
+}
+
+void PlainServer::resetConnections() {
+  for (QTcpSocket *Each : m_Sockets)
+    PlainReply(Each).reset();
+}
+
+void PlainServer::accept() {
+  while (QTcpSocket *Socket = m_Server.nextPendingConnection()) {
+    ++m_Accepted;
+    m_Sockets.push_back(Socket); // Owned by the server to its end.
+    auto Buffer = std::make_shared<QByteArray>();
+    QObject::connect(Socket, &QTcpSocket::readyRead, Socket,
+                     [this, Socket, Buffer] {
+                       *Buffer += Socket->readAll();
+                       read(*Socket, *Buffer);
+                     });
+  }
+}
+
+void PlainServer::read(QTcpSocket &Socket, QByteArray &Buffer) {
+  const qsizetype HeadEnd = Buffer.indexOf("\r\n\r\n");
+  if (HeadEnd < 0)
+    return;
+  PlainRequest Request;
+  const QList<QByteArray> Lines = Buffer.left(HeadEnd).split('\n');
+  const QList<QByteArray> First = Lines[0].trimmed().split(' ');
+  Request.m_Method = First.value(0).toStdString();
+  const QUrl Target(QString::fromUtf8(First.value(1)));
+  Request.m_Path = Target.path().toStdString();
+  for (const auto &[Name, Value] : QUrlQuery(Target).queryItems())
+    Request.m_Query[Name.toStdString()] = Value.toStdString();
+  for (qsizetype I = 1; I < Lines.size(); ++I) {
+    const qsizetype Colon = Lines[I].indexOf(':');
+    Request.m_Headers[Lines[I].left(Colon).trimmed().toLower().toStdString()] =
+        Lines[I].mid(Colon + 1).trimmed().toStdString();
+  }
+  const qsizetype Length =
+      QByteArray::fromStdString(Request.header("content-length")).toLongLong();
+  if (Buffer.size() < HeadEnd + 4 + Length)
+    return;
+  Request.m_Body = Buffer.mid(HeadEnd + 4, Length).toStdString();
+  Buffer.remove(0, HeadEnd + 4 + Length);
+  m_Handler(Request, PlainReply(&Socket));
+}
+
+StoreStandin::StoreStandin()
+    : m_Server([this](const PlainRequest &Request, PlainReply Reply) {
+        handle(Request, Reply);
+      }) {}
+
+void StoreStandin::put(const std::string &Kind, const std::string &Name,
+                       const QJsonObject &Spec) {
+  ++m_Revision;
+  const QJsonObject Object{
+      {"meta",
+       QJsonObject{{"name", qt(Name)},
+                   {"revision", static_cast<qint64>(m_Revision)},
+                   {"created", 1},
+                   {"finalizers", QJsonArray{}},
+                   {"deleting", false}}},
+      {"spec", Spec},
+      {"status", QJsonValue::Null}};
+  m_Objects[Kind][Name] = Object;
+  record(Kind, Object, false);
+}
+
+void StoreStandin::remove(const std::string &Kind, const std::string &Name) {
+  const auto Found = m_Objects[Kind].find(Name);
+  if (Found == m_Objects[Kind].end())
+    return;
+  ++m_Revision;
+  QJsonObject Object = Found->second;
+  m_Objects[Kind].erase(Found);
+  QJsonObject Meta = Object["meta"].toObject();
+  Meta["revision"] = static_cast<qint64>(m_Revision);
+  Object["meta"] = Meta;
+  record(Kind, Object, true);
+}
+
+void StoreStandin::record(const std::string &Kind, const QJsonObject &Object,
+                          bool Removed) {
+  m_History.push_back(
+      {m_Revision, Kind,
+       QJsonObject{{"tombstone", Removed}, {"object", Object}}});
+  if (!m_WatchesAreDeaf)
+    m_Watches.remove_if([this](const Watch &Each) { return answerWatch(Each); });
+}
+
+void StoreStandin::forgetHistory() {
+  m_History.clear();
+  m_OldestKnown = m_Revision;
+}
+
+void StoreStandin::cutConnections() {
+  m_Watches.clear();
+  m_Server.resetConnections();
+}
+
+void StoreStandin::handle(const PlainRequest &Request, PlainReply Reply) {
+  if (m_IsDown) {
+    Reply.send(503, "{}");
+    return;
+  }
+  constexpr std::string_view Prefix = "/api/objects/";
+  if (!Request.m_Path.starts_with(Prefix)) {
+    Reply.send(404, "{}");
+    return;
+  }
+  const std::string Rest = Request.m_Path.substr(Prefix.size());
+  const std::size_t Slash = Rest.find('/');
+  const std::string Kind = Rest.substr(0, Slash);
+  const std::string Name =
+      Slash == std::string::npos ? "" : Rest.substr(Slash + 1);
+  if (Request.m_Method != "GET")
+    write(Kind, Name, Request, Reply);
+  else if (Request.m_Query.contains("watch"))
+    watch(Kind, Request, Reply);
+  else
+    list(Kind, Request, Reply);
+}
+
+void StoreStandin::list(const std::string &Kind, const PlainRequest &Request,
+                        PlainReply Reply) {
+  ++m_Calls["list " + Kind];
+  const auto After = Request.m_Query.find("after");
+  QJsonArray Items;
+  bool More = false;
+  for (const auto &[Name, Object] : m_Objects[Kind]) {
+    if (After != Request.m_Query.end() && Name <= After->second)
+      continue;
+    More = static_cast<std::size_t>(Items.size()) == m_PageSize;
+    if (More)
+      break;
+    Items.append(Object);
+  }
+  Reply.send(200,
+             compact({{"items", Items},
+                      {"more", More},
+                      {"current_rev", static_cast<qint64>(m_Revision)}}));
+}
+
+void StoreStandin::watch(const std::string &Kind, const PlainRequest &Request,
+                         PlainReply Reply) {
+  ++m_Calls["watch " + Kind];
+  const Watch Waiting{Kind, std::stoull(Request.m_Query.at("watch")), Reply};
+  if (Waiting.m_After < m_OldestKnown)
+    Reply.send(410, "{}");
+  else if (m_WatchesAreDeaf || !answerWatch(Waiting))
+    m_Watches.push_back(Waiting);
+}
+
+bool StoreStandin::answerWatch(const Watch &Waiting) {
+  QJsonArray Events;
+  for (const Change &Each : m_History)
+    if (Each.m_Kind == Waiting.m_Kind && Each.m_Revision > Waiting.m_After)
+      Events.append(Each.m_Event);
+  if (Events.isEmpty())
+    return false;
+  Waiting.m_Reply.send(
+      200, compact({{"events", Events},
+                    {"current_rev", static_cast<qint64>(m_Revision)}}));
+  return true;
+}
+
+void StoreStandin::write(const std::string &Kind, std::string Name,
+                         const PlainRequest &Request, PlainReply Reply) {
+  ++m_Calls["write " + Kind];
+  const QJsonObject Body = parse(Request.m_Body);
+  const bool IsCreate = Request.m_Method == "POST";
+  if (IsCreate)
+    Name = Body["meta"].toObject()["name"].toString().toStdString();
+  const bool Exists = m_Objects[Kind].contains(Name);
+  if (IsCreate == Exists) {
+    Reply.send(IsCreate ? 409 : 404, "{}");
+    return;
+  }
+  put(Kind, Name, Body["spec"].toObject());
+  Reply.send(200, compact(m_Objects[Kind][Name]));
+}
+
+SearcherStandin::SearcherStandin(std::string Id, std::string Service,
+                                 std::string Zone)
+    : m_Id(std::move(Id)), m_Service(std::move(Service)),
+      m_Zone(std::move(Zone)),
+      m_Server([this](const PlainRequest &Request, PlainReply Reply) {
+        handle(Request, Reply);
+      }) {
+  m_OnRun = [this](const PlainRequest &Request, PlainReply Reply) {
+    QTimer::singleShot(m_Delay, &m_Context,
+                       [this, Request, Reply] { answer(Request, Reply); });
+  };
+}
+
+QJsonObject SearcherStandin::entry(const std::string &State) const {
+  return {{"service", qt(m_Service)},
+          {"address", qt(m_Server.address())},
+          {"zone", qt(m_Zone)},
+          {"version", "v1"},
+          {"slots", 4},
+          {"state", qt(State)},
+          {"cold_remaining_ms", 0},
+          {"sequence", 4},
+          {"born", qint64{1785822630279}}};
+}
+
+void SearcherStandin::answer(const PlainRequest &Request,
+                             PlainReply Reply) const {
+  Reply.send(200, m_Body,
+             fmt::format("X-Request-Id: {}\r\nX-Server-Stamp: stamp-{}-{}\r\n",
+                         Request.header("x-request-id"), m_Id,
+                         Request.header("x-request-id")));
+}
+
+void SearcherStandin::handle(const PlainRequest &Request, PlainReply Reply) {
+  if (Request.header("x-expect-instance") != m_Id) {
+    Reply.send(421, "", fmt::format("X-Instance-Id: {}\r\n", m_Id));
+    return;
+  }
+  m_Runs.push_back(Request);
+  m_Deadlines.push_back(Request.header("x-deadline-milliseconds"));
+  m_OnRun(Request, Reply);
+}
+
+} // namespace figturn::standin
--- a/test/support/RawClient.h
+++ b/test/support/RawClient.h
@@ -21,7 +21,8 @@
 
 class RawClient {
 public:
-  explicit RawClient(std::uint16_t Port)
+  /** \p Host is an address of the loopback net. */
+  explicit RawClient(std::uint16_t Port, std::uint32_t Host = INADDR_LOOPBACK)
       : m_Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const timeval Watchdog{.tv_sec = 20};
     ::setsockopt(m_Socket, SOL_SOCKET, SO_RCVTIMEO, &Watchdog,
@@ -29,7 +30,7 @@
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_port = htons(Port);
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_addr.s_addr = htonl(Host);
     m_Open = ::connect(m_Socket, reinterpret_cast<sockaddr *>(&Address),
                        sizeof(Address)) == 0;
   }
--- /dev/null
+++ b/test/support/RoutedFleet.h
@@ -0,0 +1,220 @@
+#ifndef FIGTURN_TEST_SUPPORT_ROUTEDFLEET_H
+#define FIGTURN_TEST_SUPPORT_ROUTEDFLEET_H
+
+/**
+ * Routed VMs as real processes on loopback, with the platform's store and
+ * targets standing in on a thread of the test.
+ */
+
+#include "protocol/JsonConvert.h"
+#include "standin/RoutedStandins.h"
+#include "support/Process.h"
+#include "support/QtApplication.h"
+#include "support/RawClient.h"
+#include "transport/WorkerPool.h"
+
+#include <QFile>
+#include <QJsonArray>
+#include <QTcpServer>
+#include <QTemporaryDir>
+
+#include <fmt/format.h>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace figturn::test {
+
+/** An answer and what stands in it. */
+struct RoutedAnswer {
+  unsigned m_Status = 0; ///< 0: the connection ended without one.
+  HttpHeaders m_Headers;
+  std::string m_Body;
+
+  std::string header(std::string_view Name) const {
+    return headerValue(m_Headers, Name);
+  }
+};
+
+/** A port that was free a moment ago. */
+inline std::uint16_t freePort() {
+  QTcpServer Server;
+  Server.listen(QHostAddress::LocalHost);
+  return Server.serverPort();
+}
+
+class RoutedFleet {
+public:
+  struct Vm {
+    std::string m_Name;
+    std::uint16_t m_Caller = freePort();
+    std::uint16_t m_Readiness = freePort();
+    std::uint16_t m_Directory = freePort();
+    std::uint16_t m_Control = freePort();
+    std::uint32_t m_Host = INADDR_LOOPBACK; ///< Each VM has its own.
+    std::unique_ptr<Process> m_Process;
+  };
+
+  RoutedFleet() : m_Thread(1) {
+    onThread([this] { m_Store = std::make_unique<standin::StoreStandin>(); });
+  }
+  ~RoutedFleet() {
+    m_Vms.clear();
+    onThread([this] {
+      m_Searchers.clear();
+      m_Store.reset();
+    });
+    m_Thread.stop();
+  }
+
+  /** Runs \p Task where the stand-ins live. */
+  void onThread(const std::function<void()> &Task) {
+    std::promise<void> Done;
+    m_Thread.post(0, [&] {
+      Task();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+  standin::SearcherStandin &addSearcher(const std::string &Id,
+                                        const std::string &Service,
+                                        const std::string &Zone = "dc-a") {
+    onThread([&] {
+      m_Searchers.push_back(
+          std::make_unique<standin::SearcherStandin>(Id, Service, Zone));
+      m_Store->put("servers", Id, m_Searchers.back()->entry());
+    });
+    return *m_Searchers.back();
+  }
+
+  void publish(const QJsonObject &Config) {
+    onThread([&] { m_Store->put("config", "main", Config); });
+  }
+
+  /** Starts a VM; waits until it is ready unless told not to. */
+  Vm &startVm(bool Waits = true) {
+    m_Vms.push_back(std::make_unique<Vm>());
+    Vm &Started = *m_Vms.back();
+    Started.m_Name = fmt::format("vm-{}", m_Vms.size());
+    Started.m_Host = INADDR_LOOPBACK + static_cast<std::uint32_t>(m_Vms.size()) - 1;
+    launch(Started, Waits);
+    return Started;
+  }
+
+  void launch(Vm &Started, bool Waits = true) {
+    const std::string File =
+        m_Folder.filePath(QString::fromStdString(Started.m_Name)).toStdString();
+    writeSettings(Started, File);
+    Started.m_Process = std::make_unique<Process>(std::vector<std::string>{
+        FIGTURN_BINARY, "serve", "--settings=" + File});
+    if (Waits && !Started.m_Process->waitForLine("F0102"))
+      throw std::runtime_error("the VM did not become ready");
+  }
+
+  void writeSettings(const Vm &Of, const std::string &File,
+                     double GraceSeconds = 2) const {
+    const std::uint32_t LastPart = Of.m_Host - INADDR_LOOPBACK + 1;
+    const auto Address = [LastPart](std::uint16_t Port) {
+      return toQt(fmt::format("127.0.0.{}:{}", LastPart, Port));
+    };
+    QFile Output(QString::fromStdString(File));
+    if (!Output.open(QIODevice::WriteOnly))
+      throw std::runtime_error("the settings can't be written");
+    Output.write(QByteArray::fromStdString(
+        toCompactText({{"door", "routed"},
+                       {"vm", toQt(Of.m_Name)},
+                       {"dataCentre", "dc-a"},
+                       {"callerAddress", Address(Of.m_Caller)},
+                       {"readinessAddress", Address(Of.m_Readiness)},
+                       {"directoryAddress", Address(Of.m_Directory)},
+                       {"controlAddress", Address(Of.m_Control)},
+                       {"gossipAddress", Address(m_GossipPort)},
+                       {"seeds", toQt(fmt::format("127.0.0.1:{}", m_Vms.front()->m_Control))},
+                       {"storeAddress", toQt(m_Store->address())},
+                       {"retrySlack", 50},
+                       {"graceSeconds", GraceSeconds}})));
+  }
+
+  static RoutedAnswer call(std::uint16_t Port, const std::string &Method,
+                           const std::string &Target,
+                           const std::string &Headers = "",
+                           const std::string &Body = "",
+                           std::uint32_t Host = INADDR_LOOPBACK) {
+    RawClient Client(Port, Host);
+    return exchange(Client, Method, Target, Headers, Body);
+  }
+  static RoutedAnswer exchange(RawClient &Client, const std::string &Method,
+                               const std::string &Target,
+                               const std::string &Headers,
+                               const std::string &Body) {
+    Client.send(fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n{}"
+                            "Content-Length: {}\r\n\r\n{}",
+                            Method, Target, Headers, Body.size(), Body));
+    const auto Reply = Client.receive();
+    if (!Reply)
+      return {};
+    return {Reply->m_Status, Reply->m_Headers, Reply->m_Body};
+  }
+  static std::string requestHeaders(const std::string &Id,
+                                    int DeadlineMs = 3000) {
+    return fmt::format(
+        "X-Request-Id: {}\r\nX-Deadline-Milliseconds: {}\r\n", Id, DeadlineMs);
+  }
+
+  struct QtReady {
+    QtReady() { ensureQtApplication(); }
+  };
+
+  QtReady m_Qt; ///< Before the thread, which needs it.
+  WorkerPool m_Thread;
+  std::uint16_t m_GossipPort = freePort(); ///< The same on all VMs.
+  QTemporaryDir m_Folder;
+  std::unique_ptr<standin::StoreStandin> m_Store;
+  std::vector<std::unique_ptr<standin::SearcherStandin>> m_Searchers;
+  std::vector<std::unique_ptr<Vm>> m_Vms;
+};
+
+/** A configuration with a search over s-0 and s-1 and plain routes to "desk". */
+inline QJsonObject routedConfig(int Version) {
+  const auto Service = [](const char *Name) {
+    return QJsonObject{{"name", Name},          {"health_path", "/health"},
+                       {"connection_limit", 20}, {"protocol", "h1"},
+                       {"tls", false},           {"cold_start_s", 3.0},
+                       {"cold_per_s", 0.0}};
+  };
+  const auto Route = [](const char *Name, const char *Prefix, const char *Kind) {
+    return QJsonObject{{"name", Name},
+                       {"host", "h.example"},
+                       {"path_prefix", Prefix},
+                       {"kind", Kind},
+                       {"timeout_ms", 3000},
+                       {"target_latency_ms", 1000},
+                       {"priority", 1},
+                       {"attempts", 2}};
+  };
+  QJsonObject Search = Route("search", "/search/", "safe");
+  Search["gather"] = QJsonArray{"s-0", "s-1"};
+  Search["top"] = 5;
+  Search["min_version"] = 0.5;
+  QJsonObject Look = Route("look", "/look/", "safe");
+  Look["service"] = "desk";
+  QJsonObject Book = Route("book", "/book/", "unsafe");
+  Book["service"] = "desk";
+  return {{"version", Version},
+          {"routes", QJsonArray{Search, Look, Book}},
+          {"services",
+           QJsonArray{Service("s-0"), Service("s-1"), Service("desk")}},
+          {"limits", QJsonObject{{"header_bytes", 16384},
+                                 {"body_bytes", 262144},
+                                 {"header_timeout_ms", 3000},
+                                 {"idle_timeout_ms", 15000}}}};
+}
+
+} // namespace figturn::test
+
+#endif // FIGTURN_TEST_SUPPORT_ROUTEDFLEET_H
