--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -4,6 +4,8 @@
 #include "protocol/ConfigFolder.h"
 #include "protocol/ConfigSchema.h"
 #include "protocol/EffectiveConfig.h"
+#include "protocol/RoutedSettings.h"
+#include "protocol/SettingsCodec.h"
 
 #include <QJsonDocument>
 #include <absl/flags/flag.h>
@@ -45,6 +47,21 @@
       QJsonDocument(Report).toJson(QJsonDocument::Indented).toStdString());
 }
 
+// Checks a VM's settings, of whichever door they ask for.
+ExitCode checkSettings(const std::string &File) {
+  const bool IsRouted = asksForRoutedDoor(File);
+  const JsonProblems Problems = IsRouted ? readRoutedSettings(File).m_Problems
+                                         : readSettings(File).m_Problems;
+  if (!Problems.empty()) {
+    fmt::print(stderr, "{}{} problem(s) in {}\n", describeProblems(Problems),
+               Problems.size(), File);
+    return ExitCode::InvalidConfiguration;
+  }
+  fmt::print("{}: sound settings for the {} door\n", File,
+             IsRouted ? "routed" : "search");
+  return ExitCode::Ok;
+}
+
 } // namespace
 
 ExitCode checkCommand(const std::vector<std::string> &Arguments) {
@@ -52,6 +69,8 @@
     fmt::print("{}\n{}", schemaMarkdown(), exitCodesMarkdown());
     return ExitCode::Ok;
   }
+  if (const std::string File = absl::GetFlag(FLAGS_settings); !File.empty())
+    return checkSettings(File);
   if (Arguments.empty())
     return usageError("usage: figturn check [FLAGS] DIR");
   const MergedConfig Merged = readConfigFolder(Arguments[0]);
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -4,12 +4,8 @@
 #include "cli/ServeCommand.h"
 #include "cli/Version.h"
 #include "protocol/SettingsCodec.h"
-#include "state/Event.h"
 
 #include <absl/flags/flag.h>
-#include <algorithm>
-#include <array>
-#include <charconv>
 #include <cstdio>
 #include <fmt/format.h>
 
@@ -28,8 +24,9 @@
        .m_Summary =
            "Merges the *.json files of DIR in the order of their names and "
            "checks the result. Prints each value that would be in force with "
-           "the file and line it comes from, or all problems.",
-       .m_Flags = {"json", "schema_markdown"},
+           "the file and line it comes from, or all problems. With "
+           "--settings=FILE checks a VM's settings instead.",
+       .m_Flags = {"json", "schema_markdown", "settings"},
        .m_MostArguments = 1,
        .m_Run = checkCommand},
       {.m_Name = "apply",
@@ -49,10 +46,12 @@
        .m_Flags = {"entry", "json"},
        .m_Run = statusCommand},
       {.m_Name = "explain",
-       .m_Arguments = "NUMBER",
-       .m_Summary = "Explains a log event such as F0102.",
+       .m_Arguments = "NUMBER | ID FILE...",
+       .m_Summary =
+           "Explains a log event such as F0102, or tells the story of the "
+           "request ID from the log files of several VMs.",
        .m_LeastArguments = 1,
-       .m_MostArguments = 1,
+       .m_MostArguments = 1000,
        .m_Run = explainCommand},
       {.m_Name = "version",
        .m_Summary = "Prints the version of the program.",
@@ -84,32 +83,6 @@
   return static_cast<ExitCode>(runServe({.m_Settings = Read.m_Settings}));
 }
 
-ExitCode explainCommand(const std::vector<std::string> &Arguments) {
-  std::string_view Text = Arguments[0];
-  if (Text.starts_with('F') || Text.starts_with('f'))
-    Text.remove_prefix(1);
-  unsigned Number = 0;
-  const auto Parsed =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
-  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size())
-    return usageError(fmt::format(
-        "\"{}\" is no event number; one looks like F0102", Arguments[0]));
-  const auto Events = allEvents();
-  const auto Found =
-      std::find_if(Events.begin(), Events.end(), [&](const EventInfo &Info) {
-        return Info.m_Number == Number;
-      });
-  if (Found == Events.end())
-    return usageError(fmt::format("there is no event F{:04}", Number));
-  constexpr std::array<std::string_view, 4> Names = {"debug", "info", "warning",
-                                                     "error"};
-  fmt::print("F{:04} {} ({})\n{}\nWhat to do: {}\n", Found->m_Number,
-             Found->m_Name,
-             Names.at(static_cast<std::size_t>(Found->m_Severity)),
-             Found->m_Meaning, Found->m_Action);
-  return ExitCode::Ok;
-}
-
 ExitCode versionCommand(const std::vector<std::string> &) {
   fmt::print("figturn {}\n", programVersion());
   return ExitCode::Ok;
--- /dev/null
+++ b/src/cli/ExplainCommand.cpp
@@ -0,0 +1,80 @@
+#include "cli/Commands.h"
+#include "cli/RequestStory.h"
+#include "state/Event.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <fmt/format.h>
+
+namespace figturn {
+
+namespace {
+
+ExitCode explainEvent(const std::string &Argument) {
+  std::string_view Text = Argument;
+  if (Text.starts_with('F') || Text.starts_with('f'))
+    Text.remove_prefix(1);
+  unsigned Number = 0;
+  const auto Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size())
+    return usageError(fmt::format(
+        "\"{}\" is no event number; one looks like F0102", Argument));
+  const auto Events = allEvents();
+  const auto Found =
+      std::find_if(Events.begin(), Events.end(), [&](const EventInfo &Info) {
+        return Info.m_Number == Number;
+      });
+  if (Found == Events.end())
+    return usageError(fmt::format("there is no event F{:04}", Number));
+  constexpr std::array<std::string_view, 4> Names = {"debug", "info", "warning",
+                                                     "error"};
+  fmt::print("F{:04} {} ({})\n{}\nWhat to do: {}\n", Found->m_Number,
+             Found->m_Name,
+             Names.at(static_cast<std::size_t>(Found->m_Severity)),
+             Found->m_Meaning, Found->m_Action);
+  return ExitCode::Ok;
+}
+
+void printLine(const StoryLine &Line) {
+  fmt::print("  {} {} F{:04} {} {}\n", Line.m_Time, Line.m_Source, Line.m_Event,
+             Line.m_Name, Line.m_Fields);
+}
+
+ExitCode explainRequest(const std::string &Id,
+                        const std::vector<std::string> &Files) {
+  std::vector<StoryLine> Lines;
+  std::string Unreadable;
+  if (!readLogFiles(Files, Lines, Unreadable)) {
+    fmt::print(stderr, "figturn: can't read the log file {}\n", Unreadable);
+    return ExitCode::Failed;
+  }
+  const RequestStory Story = tellStory(Id, std::move(Lines));
+  if (Story.m_Lines.empty()) {
+    fmt::print(stderr,
+               "figturn: no line of these files names the request {}; give "
+               "the logs of all VMs of that time\n",
+               Id);
+    return ExitCode::NoAnswer;
+  }
+  fmt::print("What its VM believed by then, latest last:\n");
+  for (const StoryLine &Each : Story.m_Beliefs)
+    printLine(Each);
+  fmt::print("The request {}:\n", Id);
+  for (const StoryLine &Each : Story.m_Lines)
+    printLine(Each);
+  fmt::print("{}\n", Story.m_Cause);
+  return ExitCode::Ok;
+}
+
+} // namespace
+
+ExitCode explainCommand(const std::vector<std::string> &Arguments) {
+  if (Arguments.size() == 1)
+    return explainEvent(Arguments[0]);
+  return explainRequest(Arguments[0], {Arguments.begin() + 1, Arguments.end()});
+}
+
+} // namespace figturn
--- /dev/null
+++ b/src/cli/RequestStory.cpp
@@ -0,0 +1,157 @@
+#include "cli/RequestStory.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <regex>
+#include <set>
+
+namespace figturn {
+
+namespace {
+
+/** Lines of belief that a story shows at most. */
+constexpr std::size_t MostBeliefs = 20;
+
+constexpr std::uint16_t Placed = 711;
+constexpr std::uint16_t CallFailed = 713;
+constexpr std::uint16_t NotRouted = 710;
+constexpr std::uint16_t Answered = 714;
+constexpr std::uint16_t AnsweredPartly = 715;
+constexpr std::uint16_t Refused = 716;
+constexpr std::uint16_t CallerLeft = 717;
+
+/** Events by which a VM tells what it came to believe. */
+bool isBelief(std::uint16_t Event) {
+  return (Event >= 100 && Event < 400) || (Event >= 600 && Event < 700) ||
+         Event >= 800;
+}
+
+bool isEnd(std::uint16_t Event) {
+  return Event == NotRouted || (Event >= Answered && Event <= CallerLeft);
+}
+
+std::string describeEnd(const StoryLine &End) {
+  switch (End.m_Event) {
+  case NotRouted:
+    return fmt::format("Refused at once, not run: {}.", End.field("reason"));
+  case Answered:
+    return fmt::format("Answered in full after {} ms.", End.field("ms"));
+  case AnsweredPartly:
+    return fmt::format("Answered with {} shards after {} ms.",
+                       End.field("shards"), End.field("ms"));
+  case Refused:
+    return fmt::format("Refused after {} ms, {}: {}; without an answer: {}.",
+                       End.field("ms"), End.field("verdict"),
+                       End.field("reason"),
+                       End.field("lost").empty() ? "none" : End.field("lost"));
+  case CallerLeft:
+    return fmt::format("The caller left after {} ms.", End.field("after_ms"));
+  default:
+    return {};
+  }
+}
+
+std::string findCause(const std::vector<StoryLine> &Lines) {
+  const auto End =
+      std::find_if(Lines.rbegin(), Lines.rend(),
+                   [](const StoryLine &Each) { return isEnd(Each.m_Event); });
+  if (End == Lines.rend())
+    return Lines.empty() ? ""
+                         : "No end is logged: the VM stopped or its last "
+                           "lines were lost; look for node-started behind it.";
+  std::string Cause = describeEnd(*End);
+  std::string Failures;
+  for (const StoryLine &Each : Lines)
+    if (Each.m_Event == CallFailed)
+      Failures += fmt::format("{}{} at {}", Failures.empty() ? "" : ", ",
+                              Each.field("outcome"), Each.field("target"));
+  if (!Failures.empty())
+    Cause += fmt::format(" Calls that failed: {}.", Failures);
+  else if (End->m_Event != Answered)
+    Cause += " No call had failed: those without an answer were still out, "
+             "or none could be sent.";
+  return Cause;
+}
+
+} // namespace
+
+std::string StoryLine::field(const std::string &Key) const {
+  const std::string Wanted = " " + Key + "=";
+  const std::string Text = " " + m_Fields;
+  const std::size_t At = Text.find(Wanted);
+  if (At == std::string::npos)
+    return {};
+  const std::size_t Begin = At + Wanted.size();
+  return Text.substr(Begin, Text.find(' ', Begin) - Begin);
+}
+
+bool parseLogLine(const std::string &Line, const std::string &File,
+                  StoryLine &Out) {
+  static const std::regex Pattern(
+      R"(^(.*?)(\d{4}-\d\d-\d\dT[\d:.]+Z) \w+ F(\d{4}) (\S+) ?(.*)$)");
+  std::smatch Found;
+  if (!std::regex_match(Line, Found, Pattern))
+    return false;
+  Out.m_Source = Found[1].str();
+  // A collector may put a machine's name, or its own time, before the line.
+  while (!Out.m_Source.empty() && Out.m_Source.back() == ' ')
+    Out.m_Source.pop_back();
+  const std::size_t Space = Out.m_Source.rfind(' ');
+  if (Space != std::string::npos)
+    Out.m_Source.erase(0, Space + 1);
+  if (Out.m_Source.empty())
+    Out.m_Source = File;
+  Out.m_Time = Found[2].str();
+  const std::string Number = Found[3].str();
+  std::from_chars(Number.data(), Number.data() + Number.size(), Out.m_Event);
+  Out.m_Name = Found[4].str();
+  Out.m_Fields = Found[5].str();
+  return true;
+}
+
+bool readLogFiles(const std::vector<std::string> &Files,
+                  std::vector<StoryLine> &Out, std::string &Unreadable) {
+  for (const std::string &File : Files) {
+    std::ifstream Input(File);
+    if (!Input) {
+      Unreadable = File;
+      return false;
+    }
+    std::string Line;
+    StoryLine Parsed;
+    while (std::getline(Input, Line))
+      if (parseLogLine(Line, File, Parsed))
+        Out.push_back(Parsed);
+  }
+  return true;
+}
+
+RequestStory tellStory(const std::string &Id, std::vector<StoryLine> Lines) {
+  std::stable_sort(Lines.begin(), Lines.end(),
+                   [](const StoryLine &Left, const StoryLine &Right) {
+                     return Left.m_Time < Right.m_Time;
+                   });
+  RequestStory Story;
+  std::set<std::string> Sources;
+  for (const StoryLine &Each : Lines)
+    if (Each.field("id") == Id) {
+      Story.m_Lines.push_back(Each);
+      Sources.insert(Each.m_Source);
+    }
+  if (Story.m_Lines.empty())
+    return Story;
+  const std::string Last = Story.m_Lines.back().m_Time;
+  for (const StoryLine &Each : Lines)
+    if (isBelief(Each.m_Event) && Sources.contains(Each.m_Source) &&
+        Each.m_Time <= Last)
+      Story.m_Beliefs.push_back(Each);
+  if (Story.m_Beliefs.size() > MostBeliefs)
+    Story.m_Beliefs.erase(Story.m_Beliefs.begin(),
+                          Story.m_Beliefs.end() - MostBeliefs);
+  Story.m_Cause = findCause(Story.m_Lines);
+  return Story;
+}
+
+} // namespace figturn
--- a/src/cli/RoutedServe.cpp
+++ b/src/cli/RoutedServe.cpp
@@ -26,8 +26,8 @@
 
 /** Runs \p Task on the only worker of \p Worker and waits for it. */
 template <typename Function> auto runOn(WorkerPool &Worker, Function Task) {
-  auto Work = std::make_shared<std::packaged_task<decltype(Task())()>>(
-      std::move(Task));
+  auto Work =
+      std::make_shared<std::packaged_task<decltype(Task())()>>(std::move(Task));
   auto Done = Work->get_future();
   Worker.post(0, [Work] { (*Work)(); });
   return Done.get();
@@ -42,7 +42,8 @@
     fmt::print(stderr, "{}", describeProblems(Read.m_Problems));
     return;
   }
-  Worker.post(0, [&Node, Settings = Read.m_Settings] { Node.reload(Settings); });
+  Worker.post(0,
+              [&Node, Settings = Read.m_Settings] { Node.reload(Settings); });
 }
 
 } // namespace
--- a/src/cli/StatusCommand.cpp
+++ b/src/cli/StatusCommand.cpp
@@ -42,7 +42,23 @@
   }
 }
 
+// A VM with the routed door reports what it routes by.
+void printRoutedStatus(const QJsonObject &Status) {
+  fmt::print("{}: ready {}, configuration {}, follows the platform {}\n",
+             cell(Status, "vm"), cell(Status, "ready"),
+             cell(Status, "configVersion"), cell(Status, "followsPlatform"));
+  printRows(Status.value("vms").toArray(), "other VMs",
+            {"vm", "phase", "configVersion"});
+  printRows(Status.value("targets").toArray(), "targets",
+            {"target", "service", "dataCentre", "draining", "missing", "cold",
+             "outstanding", "slowness", "failureShare"});
+}
+
 void printStatus(const QJsonObject &Status) {
+  if (Status.contains("followsPlatform")) {
+    printRoutedStatus(Status);
+    return;
+  }
   const QJsonObject Epoch = Status.value("epoch").toObject();
   fmt::print("{} ({}): ready {}, draining {}, configuration {} (change {}), "
              "epoch {} (usable {})\n",
--- a/src/coordination/CoverageRule.cpp
+++ b/src/coordination/CoverageRule.cpp
@@ -14,8 +14,8 @@
 
 std::size_t CoverageRule::leastShards(std::size_t Shards) const {
   const double Least = m_Options.m_LeastCoverage * static_cast<double>(Shards);
-  const auto Whole =
-      static_cast<std::size_t>(std::ceil(std::max(0.0, Least - ShareTolerance)));
+  const auto Whole = static_cast<std::size_t>(
+      std::ceil(std::max(0.0, Least - ShareTolerance)));
   return std::max<std::size_t>(Whole, 1);
 }
 
@@ -25,8 +25,7 @@
   return m_Options.m_OnTimeUntil + std::max<Duration>(Rest / 2, Duration(0));
 }
 
-SearchStep CoverageRule::decide(const SearchProgress &Progress,
-                                TimePoint Now) {
+SearchStep CoverageRule::decide(const SearchProgress &Progress, TimePoint Now) {
   const std::size_t Least = leastShards(Progress.m_Shards);
   const bool IsEnough = Progress.m_Answered >= Least;
   if (Progress.m_Answered + Progress.m_Lost >= Progress.m_Shards)
--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -10,9 +10,8 @@
 namespace figturn {
 
 std::uint32_t vmKey(const VmRecord &Record) {
-  return static_cast<std::uint32_t>(
-      stableHash(Record.m_Vm.value(),
-                 static_cast<std::uint64_t>(Record.m_StartedMs)));
+  return static_cast<std::uint32_t>(stableHash(
+      Record.m_Vm.value(), static_cast<std::uint64_t>(Record.m_StartedMs)));
 }
 
 FleetView::FleetView(VmRecord Self, std::vector<std::string> Seeds,
@@ -97,8 +96,8 @@
   std::vector<VmBeat> Beats;
   for (const auto &[Name, Each] : m_Peers)
     if (isAlive(Each, Now))
-      Beats.push_back({.m_Key = vmKey(Each.m_Record),
-                       .m_Beat = Each.m_Record.m_Beat});
+      Beats.push_back(
+          {.m_Key = vmKey(Each.m_Record), .m_Beat = Each.m_Record.m_Beat});
   std::shuffle(Beats.begin(), Beats.end(), m_Random);
   const std::size_t Taken =
       std::min(News.m_Records.size() * m_Options.m_BeatsPerRecord,
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -82,7 +82,7 @@
   Duration m_AloneAfter = milliseconds(5000);
   /** A VM lost for so long no longer counts for shares of common limits. */
   Duration m_ForgetAfter = seconds(30);
-  std::size_t m_Fanout = 3;           ///< Peers that get each round's message.
+  std::size_t m_Fanout = 3; ///< Peers that get each round's message.
   /** Records beside the sender's own, and counters, that keep a message in
    *  one datagram; each record takes the room of some counters. */
   std::size_t m_RecordsPerMessage = 5;
@@ -135,8 +135,8 @@
 private:
   struct Peer {
     VmRecord m_Record;
-    TimePoint m_HeardAt; ///< When the counter rose last.
-    bool m_WasServing = false; ///< At the last takeChanges().
+    TimePoint m_HeardAt;           ///< When the counter rose last.
+    bool m_WasServing = false;     ///< At the last takeChanges().
     std::uint32_t m_TimesSent = 0; ///< Of the whole record, in this state.
   };
 
--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 bool TargetChooser::isUsable(const ChoiceQuery &Query,
-                         const TargetPtr &Candidate, TimePoint Now) {
+                             const TargetPtr &Candidate, TimePoint Now) {
   const TargetLoad &Load = Candidate->m_Load;
   if (Candidate->m_Entry.m_Draining || Load.isMisdirected() ||
       !Query.m_IsOpen(Candidate->m_Entry.m_DataCentre))
@@ -35,7 +35,7 @@
 }
 
 double TargetChooser::cost(const ChoiceQuery &Query, const Target &Candidate,
-                       TimePoint Now) {
+                           TimePoint Now) {
   const TargetLoad &Load = Candidate.m_Load;
   const double Slots = std::max(1U, Candidate.m_Entry.m_Slots);
   const double Success =
@@ -61,9 +61,10 @@
   for (const TargetPtr &Candidate : Query.m_Candidates)
     if (isUsable(Query, Candidate, Now))
       Ranked.emplace_back(cost(Query, *Candidate, Now), Candidate);
-  std::sort(
-      Ranked.begin(), Ranked.end(),
-      [](const auto &Left, const auto &Right) { return Left.first < Right.first; });
+  std::sort(Ranked.begin(), Ranked.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.first < Right.first;
+            });
   for (const auto &[Cost, Candidate] : Ranked)
     if (!Candidate->isCold(Now) || Query.m_TakeColdRight(*Candidate))
       return Candidate;
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -58,8 +58,7 @@
 private:
   static bool isUsable(const ChoiceQuery &Query, const TargetPtr &Candidate,
                        TimePoint Now);
-  double cost(const ChoiceQuery &Query, const Target &Candidate,
-              TimePoint Now);
+  double cost(const ChoiceQuery &Query, const Target &Candidate, TimePoint Now);
 
   ChoiceCosts m_Costs;
   std::minstd_rand m_Random;
--- a/src/coordination/TargetLoad.cpp
+++ b/src/coordination/TargetLoad.cpp
@@ -41,9 +41,8 @@
 void TargetLoad::noteUnreachable(TimePoint Now) {
   constexpr std::uint32_t MostDoublings = 3;
   const std::uint32_t Doublings = std::min(m_UnreachableInRow, MostDoublings);
-  m_AvoidUntil =
-      Now + std::min<Duration>(FirstAvoidance * (1 << Doublings),
-                               LongestAvoidance);
+  m_AvoidUntil = Now + std::min<Duration>(FirstAvoidance * (1 << Doublings),
+                                          LongestAvoidance);
   ++m_UnreachableInRow;
 }
 
--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -75,10 +75,9 @@
     // An earlier start's entry that comes late says nothing of this one.
     if (Entry.m_Instance.m_StartedMs < Old.m_Instance.m_StartedMs)
       return;
-    const bool IsSameProcess = Entry.m_Instance == Old.m_Instance &&
-                               Entry.m_Host == Old.m_Host &&
-                               Entry.m_Port == Old.m_Port &&
-                               Entry.m_Service == Old.m_Service;
+    const bool IsSameProcess =
+        Entry.m_Instance == Old.m_Instance && Entry.m_Host == Old.m_Host &&
+        Entry.m_Port == Old.m_Port && Entry.m_Service == Old.m_Service;
     if (IsSameProcess) {
       const bool IsNews = !(Entry == Old) || Known->m_MissingSince;
       Known->m_Entry = std::move(Entry);
--- a/src/coordination/WatchSequence.cpp
+++ b/src/coordination/WatchSequence.cpp
@@ -42,10 +42,9 @@
 
 void WatchSequence::onFailure(TimePoint Now) {
   constexpr std::uint32_t MostDoublings = 6;
-  const Duration Longest =
-      std::min<Duration>(m_Options.m_FirstBackoff *
-                             (1 << std::min(m_Failures, MostDoublings)),
-                         m_Options.m_LongestBackoff);
+  const Duration Longest = std::min<Duration>(
+      m_Options.m_FirstBackoff * (1 << std::min(m_Failures, MostDoublings)),
+      m_Options.m_LongestBackoff);
   ++m_Failures;
   if (m_Next.m_Call == StoreCall::Watch)
     m_Next = {.m_Call = StoreCall::List};
--- a/src/node/GossipSocket.cpp
+++ b/src/node/GossipSocket.cpp
@@ -22,9 +22,9 @@
 
 std::error_code GossipSocket::open(const std::string &Address) {
   const auto Where = parseSocketAddress(Address);
-  if (!Where || !m_Socket.bind(
-                    QHostAddress(QString::fromStdString(Where->m_Host)),
-                    Where->m_Port))
+  if (!Where ||
+      !m_Socket.bind(QHostAddress(QString::fromStdString(Where->m_Host)),
+                     Where->m_Port))
     return std::make_error_code(std::errc::address_not_available);
   beginRound();
   return {};
@@ -33,8 +33,7 @@
 void GossipSocket::beginRound() {
   const TimePoint Now = Clock::now();
   send(m_Fleet.beginRound(Now));
-  m_Timer.start(
-      std::chrono::ceil<milliseconds>(m_Fleet.roundInterval(Now)));
+  m_Timer.start(std::chrono::ceil<milliseconds>(m_Fleet.roundInterval(Now)));
 }
 
 void GossipSocket::announce() { send(m_Fleet.announce(Clock::now())); }
--- a/src/node/RoutedDoor.cpp
+++ b/src/node/RoutedDoor.cpp
@@ -25,7 +25,8 @@
            "This VM has no configuration yet.", Left);
     return;
   }
-  const Route *Found = Config->match(Request.m_Host, Exchange->request().m_Path);
+  const Route *Found =
+      Config->match(Request.m_Host, Exchange->request().m_Path);
   if (!Found) {
     // An older configuration than the platform's can't tell that there is no
     // such route.
@@ -37,9 +38,8 @@
     return;
   }
   m_World.metrics().addRequest(Found->m_Name);
-  RoutedRunOptions Options{.m_Config = Config,
-                           .m_Route = Found,
-                           .m_RequestId = Request.m_Id};
+  RoutedRunOptions Options{
+      .m_Config = Config, .m_Route = Found, .m_RequestId = Request.m_Id};
   const milliseconds Waits =
       std::min(Request.m_Deadline.value_or(Found->m_Timeout), Found->m_Timeout);
   Options.m_End = Exchange->receivedAt() + Waits;
--- a/src/node/RoutedMetrics.cpp
+++ b/src/node/RoutedMetrics.cpp
@@ -28,8 +28,7 @@
 }
 
 void LatencyHistogram::record(Duration Latency) {
-  const auto Millis =
-      std::chrono::duration_cast<milliseconds>(Latency).count();
+  const auto Millis = std::chrono::duration_cast<milliseconds>(Latency).count();
   const auto Bucket = static_cast<std::size_t>(
       std::lower_bound(BoundsMs.begin(), BoundsMs.end(), Millis) -
       BoundsMs.begin());
@@ -47,8 +46,8 @@
         I < BoundsMs.size()
             ? fmt::format("{:g}", static_cast<double>(BoundsMs[I]) / 1000)
             : "+Inf";
-    Out += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", Name, Labels, Bound,
-                       Sum);
+    Out +=
+        fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", Name, Labels, Bound, Sum);
   }
   Out += fmt::format("{}_sum{{{}}} {:.6f}\n{}_count{{{}}} {}\n", Name, Labels,
                      m_SumSeconds, Name, Labels, Sum);
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -57,10 +57,10 @@
 }
 
 DrainOptions drainOptions(const RoutedSettings &Settings) {
-  return {.m_LingerTime = std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double>(Settings.m_GraceSeconds *
-                                            LingerPart)),
-          .m_MaxLeaveTime = Duration(0)};
+  return {
+      .m_LingerTime = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Settings.m_GraceSeconds * LingerPart)),
+      .m_MaxLeaveTime = Duration(0)};
 }
 
 template <typename Range> std::string namesOf(const Range &Targets) {
@@ -96,28 +96,28 @@
 std::error_code RoutedNode::start() {
   m_StartedAt = Clock::now();
   m_LastTickAt = m_StartedAt;
-  m_Callers = makeServer(
-      m_Settings.m_CallerAddress,
-      [this](const HttpExchangePtr &Each) { m_Door.handle(Each); });
+  m_Callers =
+      makeServer(m_Settings.m_CallerAddress,
+                 [this](const HttpExchangePtr &Each) { m_Door.handle(Each); });
   m_Readiness = makeServer(
       m_Settings.m_ReadinessAddress, [this](const HttpExchangePtr &Each) {
         Each->respond(m_Platform.m_Readiness(Each->request(), isReady()));
       });
-  m_Directory = makeServer(
-      m_Settings.m_DirectoryAddress, [this](const HttpExchangePtr &Each) {
-        Each->respond(serveDirectory(Each->request()));
-      });
-  m_Control = makeServer(
-      m_Settings.m_ControlAddress, [this](const HttpExchangePtr &Each) {
-        Each->respond(serveControl(Each->request()));
-      });
+  m_Directory = makeServer(m_Settings.m_DirectoryAddress,
+                           [this](const HttpExchangePtr &Each) {
+                             Each->respond(serveDirectory(Each->request()));
+                           });
+  m_Control = makeServer(m_Settings.m_ControlAddress,
+                         [this](const HttpExchangePtr &Each) {
+                           Each->respond(serveControl(Each->request()));
+                         });
   std::vector<HttpServer *> Servers{m_Callers.get(), m_Readiness.get(),
                                     m_Directory.get(), m_Control.get()};
   if (!m_Settings.m_MetricsAddress.empty()) {
-    m_Metrics = makeServer(
-        m_Settings.m_MetricsAddress, [this](const HttpExchangePtr &Each) {
-          Each->respond(serveControl(Each->request()));
-        });
+    m_Metrics = makeServer(m_Settings.m_MetricsAddress,
+                           [this](const HttpExchangePtr &Each) {
+                             Each->respond(serveControl(Each->request()));
+                           });
     Servers.push_back(m_Metrics.get());
   }
   for (HttpServer *Each : Servers)
@@ -147,8 +147,7 @@
 }
 
 bool RoutedNode::isReady() const {
-  return m_World.config() && m_HasTargets &&
-         m_Drain.step() == DrainStep::None;
+  return m_World.config() && m_HasTargets && m_Drain.step() == DrainStep::None;
 }
 
 // What the platform says.
@@ -208,8 +207,7 @@
   std::vector<std::string_view> Names;
   for (const DataCentreName &Each : Evacuated)
     Names.push_back(Each.value());
-  logEvent(Event::EvacuationsChanged, "data_centres={}",
-           fmt::join(Names, ","));
+  logEvent(Event::EvacuationsChanged, "data_centres={}", fmt::join(Names, ","));
   m_World.registry().setEvacuated(std::move(Evacuated));
 }
 
--- a/src/node/RoutedRun.cpp
+++ b/src/node/RoutedRun.cpp
@@ -51,45 +51,42 @@
   HedgeTimer &Hedges = m_World.hedgeTimer(route());
   m_HedgeDelay = Hedges.delay();
   // A hedge helps only if a whole call still fits before the answer is due.
-  const bool IsUseful =
-      Now + m_HedgeDelay + Hedges.typical() < onTimeUntil() ||
-      !route().m_Search;
-  const TimePoint HedgeAt =
-      IsUseful ? Now + m_HedgeDelay : TimePoint::max();
+  const bool IsUseful = Now + m_HedgeDelay + Hedges.typical() < onTimeUntil() ||
+                        !route().m_Search;
+  const TimePoint HedgeAt = IsUseful ? Now + m_HedgeDelay : TimePoint::max();
   std::vector<ServiceName> Services{m_Options.m_Service};
   if (route().m_Search)
     Services = route().m_Search->m_Shards;
   m_Lanes.reserve(Services.size());
   for (const ServiceName &Service : Services)
-    m_Lanes.push_back(
-        {.m_Service = Service,
-         .m_Race = ReplicaRace({.m_Service = Service,
-                                .m_Kind = route().m_Kind,
-                                .m_MaxSends = route().m_MaxSends,
-                                .m_HedgeAt = HedgeAt,
-                                .m_LastSendAt =
-                                    m_Options.m_End - LeastCallTime})});
-  m_Exchange->onCallerGone(
-      [Self = weak_from_this()] {
-        if (const auto Run = Self.lock())
-          Run->onCallerGone();
-      });
+    m_Lanes.push_back({.m_Service = Service,
+                       .m_Race = ReplicaRace(
+                           {.m_Service = Service,
+                            .m_Kind = route().m_Kind,
+                            .m_MaxSends = route().m_MaxSends,
+                            .m_HedgeAt = HedgeAt,
+                            .m_LastSendAt = m_Options.m_End - LeastCallTime})});
+  m_Exchange->onCallerGone([Self = weak_from_this()] {
+    if (const auto Run = Self.lock())
+      Run->onCallerGone();
+  });
   std::vector<std::string_view> Chosen;
   for (std::size_t I = 0; I < m_Lanes.size(); ++I) {
     m_World.earnExtraCalls(m_Lanes[I].m_Service);
     const auto First = m_Lanes[I].m_Race.start(m_World, Now);
-    Chosen.push_back(First ? std::string_view(
-                                 First->m_Target->m_Entry.m_Instance.m_Name
-                                     .value())
-                           : std::string_view("none"));
+    Chosen.push_back(
+        First ? std::string_view(
+                    First->m_Target->m_Entry.m_Instance.m_Name.value())
+              : std::string_view("none"));
     if (First)
       send(I, *First, Now);
   }
-  logEvent(Event::RequestPlaced, "id={} route={} config={} left_ms={:.0f} "
+  logEvent(Event::RequestPlaced,
+           "id={} route={} config={} left_ms={:.0f} "
            "hedge_ms={:.1f} targets={}",
-           m_Options.m_RequestId, route().m_Name,
-           m_Options.m_Config->version(), millisOf(m_Options.m_End - Now),
-           millisOf(m_HedgeDelay), fmt::join(Chosen, ","));
+           m_Options.m_RequestId, route().m_Name, m_Options.m_Config->version(),
+           millisOf(m_Options.m_End - Now), millisOf(m_HedgeDelay),
+           fmt::join(Chosen, ","));
   onTime(Now);
   arm(Now);
 }
@@ -99,10 +96,8 @@
   const Duration Usual = m_World.hedgeTimer(route()).typical();
   m_World.metrics().addCall(Of.m_Service);
   LinkCall Call{
-      .m_WriteRequest =
-          [Self = shared_from_this(), To = Send.m_Target](TimePoint At) {
-            return Self->writeCall(*To, At);
-          },
+      .m_WriteRequest = [Self = shared_from_this(), To = Send.m_Target](
+                            TimePoint At) { return Self->writeCall(*To, At); },
       .m_RequestId = m_Options.m_RequestId,
       .m_IsHead = m_Exchange->request().m_Method == "HEAD",
       .m_IsSingleRun = route().m_Kind == RouteKind::SingleRun,
@@ -110,13 +105,12 @@
       .m_OverdueAt = Now + m_HedgeDelay,
       .m_Usual = Usual};
   if (Send.m_Kind != SendKind::First)
-    logEvent(Event::ExtraCallSent,
-             "id={} kind={} service={} target={} after_ms={:.1f} reason={}",
-             m_Options.m_RequestId, sendKindName(Send.m_Kind), Of.m_Service,
-             Send.m_Target->m_Entry.m_Instance.m_Name,
-             millisOf(Now - m_StartedAt),
-             Send.m_Kind == SendKind::Hedge ? "late"
-                                            : Of.m_Race.reason().message());
+    logEvent(
+        Event::ExtraCallSent,
+        "id={} kind={} service={} target={} after_ms={:.1f} reason={}",
+        m_Options.m_RequestId, sendKindName(Send.m_Kind), Of.m_Service,
+        Send.m_Target->m_Entry.m_Instance.m_Name, millisOf(Now - m_StartedAt),
+        Send.m_Kind == SendKind::Hedge ? "late" : Of.m_Race.reason().message());
   auto Self = shared_from_this();
   auto Number = std::make_shared<CallId>();
   *Number = m_World.links().send(
@@ -221,7 +215,8 @@
 RunVerdict RoutedRun::verdict() const {
   RunVerdict Sum = RunVerdict::NotRun;
   for (const Lane &Each : m_Lanes) {
-    if ((!Each.m_Race.isOver() && !Each.m_Calls.empty()) || Each.m_Race.verdict() != RunVerdict::NotRun)
+    if ((!Each.m_Race.isOver() && !Each.m_Calls.empty()) ||
+        Each.m_Race.verdict() != RunVerdict::NotRun)
       Sum = RunVerdict::MayHaveRun;
   }
   return Sum;
@@ -387,18 +382,17 @@
 
   void answerNow(TimePoint Now) {
     const std::vector<std::string_view> Parts(m_Parts.begin(), m_Parts.end());
-    answer(searchResponse(
-               mergeTopRecords(Parts, route().m_Search->m_TopRecords), m_Stamps,
-               m_Lanes.size() - m_Parts.size(), m_Options.m_RequestId,
-               m_World.headers()),
-           m_Lanes.size(), m_Parts.size(), Now);
+    answer(
+        searchResponse(mergeTopRecords(Parts, route().m_Search->m_TopRecords),
+                       m_Stamps, m_Lanes.size() - m_Parts.size(),
+                       m_Options.m_RequestId, m_World.headers()),
+        m_Lanes.size(), m_Parts.size(), Now);
   }
 
   void fail(TimePoint Now) {
     std::error_code Reason = Errc::DeadlineExceeded;
     for (const Lane &Each : m_Lanes)
-      if (Now < m_Options.m_End && Each.m_Race.isOver() &&
-          !Each.m_Race.isWon())
+      if (Now < m_Options.m_End && Each.m_Race.isOver() && !Each.m_Race.isWon())
         Reason = Each.m_Race.reason();
     refuse(Reason,
            "Too few shards answered for the coverage that the route asks for.",
--- a/src/node/RoutedRun.h
+++ b/src/node/RoutedRun.h
@@ -23,7 +23,7 @@
 
 /** What a run was started with. */
 struct RoutedRunOptions {
-  RoutingConfigPtr m_Config; ///< The version that holds for this request.
+  RoutingConfigPtr m_Config;      ///< The version that holds for this request.
   const Route *m_Route = nullptr; ///< Of m_Config.
   ServiceName m_Service;          ///< Of a plain request.
   std::string m_RequestId;
@@ -63,8 +63,7 @@
 
   void answer(HttpResponse Response, std::size_t Asked, std::size_t Answered,
               TimePoint Now);
-  void refuse(std::error_code Reason, std::string_view Sentence,
-              TimePoint Now);
+  void refuse(std::error_code Reason, std::string_view Sentence, TimePoint Now);
   TimePoint onTimeUntil() const;
 
   const Route &route() const { return *m_Options.m_Route; }
--- a/src/node/RoutedWorld.cpp
+++ b/src/node/RoutedWorld.cpp
@@ -20,8 +20,8 @@
                          FleetView &Fleet, std::uint32_t Seed)
     : m_Settings(Settings), m_Headers(std::move(Headers)), m_Fleet(Fleet),
       m_Links(m_Headers.m_RequestId), m_Chooser(ChoiceCosts{}, Seed),
-      m_ColdQuota(Settings.m_Vm), m_Advice(RetryAdviceOptions{}, Seed),
-      m_Sharers{Settings.m_Vm} {}
+      m_ColdQuota(Settings.m_Vm),
+      m_Advice(RetryAdviceOptions{}, Seed), m_Sharers{Settings.m_Vm} {}
 
 ChoiceQuery RoutedWorld::query(const ServiceName &Service, RouteKind Kind,
                                const std::vector<TargetPtr> &Tried,
--- a/src/node/TimerQueue.cpp
+++ b/src/node/TimerQueue.cpp
@@ -36,8 +36,8 @@
     m_Timer.stop();
     return;
   }
-  const auto Delay = std::chrono::ceil<milliseconds>(
-      m_Entries.begin()->first - Clock::now());
+  const auto Delay =
+      std::chrono::ceil<milliseconds>(m_Entries.begin()->first - Clock::now());
   m_Timer.start(std::max(Delay, milliseconds(0)));
 }
 
--- a/src/protocol/ConfigSchema.cpp
+++ b/src/protocol/ConfigSchema.cpp
@@ -1,5 +1,6 @@
 #include "protocol/ConfigSchema.h"
 
+#include "protocol/RoutedSettings.h"
 #include "protocol/SettingsCodec.h"
 
 #include <fmt/format.h>
@@ -183,9 +184,12 @@
   return fmt::format("### `dataCentres.NAME`\n\n{}\n"
                      "### `services.NAME`\n\n{}\n"
                      "### `targets.NAME`\n\n{}\n"
-                     "### Settings of `figturn serve`\n\n{}",
+                     "### Settings of `figturn serve`\n\n{}\n"
+                     "### Settings of `figturn serve` with the routed door\n"
+                     "\n{}",
                      tableOf(dataCentreRules()), tableOf(serviceRules()),
-                     tableOf(targetRules()), tableOf(settingsRules()));
+                     tableOf(targetRules()), tableOf(settingsRules()),
+                     tableOf(routedSettingsRules()));
 }
 
 } // namespace figturn
--- a/src/protocol/GossipCodec.cpp
+++ b/src/protocol/GossipCodec.cpp
@@ -81,7 +81,8 @@
     for (const auto Vm : Root.getVms())
       News.m_Records.push_back(decodeVm(Vm));
     for (const auto Beat : Root.getBeats())
-      News.m_Beats.push_back({.m_Key = Beat.getKey(), .m_Beat = Beat.getBeat()});
+      News.m_Beats.push_back(
+          {.m_Key = Beat.getKey(), .m_Beat = Beat.getBeat()});
   });
   if (Failure != nullptr || News.m_Records.empty())
     return std::nullopt;
--- a/src/protocol/HttpMessage.cpp
+++ b/src/protocol/HttpMessage.cpp
@@ -27,10 +27,9 @@
 
 bool isConnectionHeader(std::string_view Name) {
   constexpr std::string_view Names[] = {
-      "Connection",       "Keep-Alive",         "Proxy-Connection",
-      "TE",               "Trailer",            "Transfer-Encoding",
-      "Content-Length",   "Upgrade",            "Expect",
-      "Proxy-Authenticate", "Proxy-Authorization"};
+      "Connection", "Keep-Alive",         "Proxy-Connection",   "TE",
+      "Trailer",    "Transfer-Encoding",  "Content-Length",     "Upgrade",
+      "Expect",     "Proxy-Authenticate", "Proxy-Authorization"};
   return std::any_of(
       std::begin(Names), std::end(Names),
       [Name](std::string_view Each) { return sameHeaderName(Each, Name); });
--- a/src/protocol/RoutedProtocol.cpp
+++ b/src/protocol/RoutedProtocol.cpp
@@ -128,9 +128,8 @@
 
 HttpResponse passReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                        std::string Body) {
-  HttpResponse Response{.m_Status = Status,
-                        .m_Body = std::move(Body),
-                        .m_ContentType = ""};
+  HttpResponse Response{
+      .m_Status = Status, .m_Body = std::move(Body), .m_ContentType = ""};
   for (const auto &[Name, Value] : ReplyHeaders)
     if (!isConnectionHeader(Name))
       Response.m_Headers.emplace_back(Name, Value);
@@ -156,17 +155,18 @@
                              std::optional<milliseconds> RetryAfter,
                              const RoutedHeaders &Headers) {
   HttpResponse Response{.m_Status = refusalStatus(Refused)};
-  Response.m_Body = toCompactText(
-      {{"requestId", toQt(RequestId)},
-       {"verdict", toQt(verdictName(Refused.m_Verdict))},
-       {"reason", toQt(Refused.m_Reason.message())},
-       {"message", toQt(Refused.m_Sentence)}});
+  Response.m_Body =
+      toCompactText({{"requestId", toQt(RequestId)},
+                     {"verdict", toQt(verdictName(Refused.m_Verdict))},
+                     {"reason", toQt(Refused.m_Reason.message())},
+                     {"message", toQt(Refused.m_Sentence)}});
   if (!RequestId.empty())
     Response.m_Headers.emplace_back(Headers.m_RequestId, RequestId);
   if (RetryAfter && Response.m_Status == StatusUnavailable)
     Response.m_Headers.emplace_back(
         "Retry-After",
-        fmt::format("{:.3f}", std::chrono::duration<double>(*RetryAfter).count()));
+        fmt::format("{:.3f}",
+                    std::chrono::duration<double>(*RetryAfter).count()));
   return Response;
 }
 
--- a/src/protocol/RoutedProtocol.h
+++ b/src/protocol/RoutedProtocol.h
@@ -22,13 +22,13 @@
 
 /** Names of the headers that the door reads and writes. */
 struct RoutedHeaders {
-  std::string m_RequestId;      ///< Of one attempt of a caller.
-  std::string m_DeadlineMs;     ///< Milliseconds that the sender waits.
-  std::string m_ExpectTarget;   ///< Target that alone may run a request.
-  std::string m_TargetStamp;    ///< Signature of a target under its answer.
-  std::string m_NotExecuted;    ///< The target did not run the request.
-  std::string m_PartStamps;     ///< Signatures of a search's parts.
-  std::string m_MissingShards;  ///< Shards that a search's answer lacks.
+  std::string m_RequestId;     ///< Of one attempt of a caller.
+  std::string m_DeadlineMs;    ///< Milliseconds that the sender waits.
+  std::string m_ExpectTarget;  ///< Target that alone may run a request.
+  std::string m_TargetStamp;   ///< Signature of a target under its answer.
+  std::string m_NotExecuted;   ///< The target did not run the request.
+  std::string m_PartStamps;    ///< Signatures of a search's parts.
+  std::string m_MissingShards; ///< Shards that a search's answer lacks.
 };
 
 /** What the door takes from a caller's request. */
--- a/src/protocol/RoutedSettings.h
+++ b/src/protocol/RoutedSettings.h
@@ -32,13 +32,13 @@
   std::string m_GossipAddress;    ///< UDP between VMs.
   std::string m_MetricsAddress;   ///< Metrics as text.
   std::string m_StoreAddress;     ///< "IP:port" of the platform's store.
-  std::string m_Seeds; ///< Control addresses of some VMs, with commas.
-  double m_GraceSeconds = 6;      ///< From SIGTERM to SIGKILL.
-  double m_RetryRatio = 0.2;      ///< Extra calls as a share of requests.
-  double m_RetrySlack = 0;        ///< Extra calls beyond that, in a window.
-  double m_ColdMultiplier = 1;    ///< Of a service's cold rate.
-  double m_ColdSlack = 0;         ///< Cold requests a second beyond that.
-  double m_DirectoryTtlSeconds = 2; ///< Longest time to keep an answer.
+  std::string m_Seeds;         ///< Control addresses of some VMs, with commas.
+  double m_GraceSeconds = 6;   ///< From SIGTERM to SIGKILL.
+  double m_RetryRatio = 0.2;   ///< Extra calls as a share of requests.
+  double m_RetrySlack = 0;     ///< Extra calls beyond that, in a window.
+  double m_ColdMultiplier = 1; ///< Of a service's cold rate.
+  double m_ColdSlack = 0;      ///< Cold requests a second beyond that.
+  double m_DirectoryTtlSeconds = 2;   ///< Longest time to keep an answer.
   std::uint32_t m_Descriptors = 1024; ///< The process's limit.
 };
 
--- a/src/state/Event.cpp
+++ b/src/state/Event.cpp
@@ -43,8 +43,9 @@
 
 void setLogOutput(LogOutput Output) {
   const bool IsService = Output == LogOutput::StandardOutput;
-  logSink().configure({.m_Descriptor = IsService ? STDOUT_FILENO : STDERR_FILENO,
-                       .m_IsBuffered = IsService});
+  logSink().configure(
+      {.m_Descriptor = IsService ? STDOUT_FILENO : STDERR_FILENO,
+       .m_IsBuffered = IsService});
 }
 
 bool isLogged(Event Id) {
--- a/src/transport/StreamSocket.cpp
+++ b/src/transport/StreamSocket.cpp
@@ -200,8 +200,8 @@
 bool StreamSocket::hasUnacknowledgedBytes() const {
   tcp_info Info{};
   socklen_t Size = sizeof(Info);
-  if (m_Descriptor < 0 || ::getsockopt(m_Descriptor, IPPROTO_TCP, TCP_INFO,
-                                       &Info, &Size) != 0)
+  if (m_Descriptor < 0 ||
+      ::getsockopt(m_Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
     return false;
   return Info.tcpi_unacked > 0;
 }
--- a/src/transport/TargetPoolImpl.cpp
+++ b/src/transport/TargetPoolImpl.cpp
@@ -48,18 +48,16 @@
 TargetPool::Impl::Impl(TargetPoolOptions Options,
                        ObservationHandler OnObservation)
     : m_Options(std::move(Options)), m_OnObservation(std::move(OnObservation)),
-      m_Endpoint{.m_Host =
-                     QHostAddress(QString::fromStdString(m_Options.m_Host)),
-                 .m_Port = m_Options.m_Port,
-                 .m_HostHeader =
-                     m_Options.m_Host + ":" + std::to_string(m_Options.m_Port),
-                 .m_ReplyLimit = m_Options.m_ReplyLimit,
-                 .m_Timeouts = {.m_Unacknowledged = unacknowledgedTimeout(
-                                    m_Options),
-                                .m_KeepAliveInterval =
-                                    m_Options.m_KeepAliveInterval},
-                 .m_Greets = m_Options.m_SpeaksOwnProtocol,
-                 .m_RequestIdHeader = m_Options.m_RequestIdHeader} {
+      m_Endpoint{
+          .m_Host = QHostAddress(QString::fromStdString(m_Options.m_Host)),
+          .m_Port = m_Options.m_Port,
+          .m_HostHeader =
+              m_Options.m_Host + ":" + std::to_string(m_Options.m_Port),
+          .m_ReplyLimit = m_Options.m_ReplyLimit,
+          .m_Timeouts = {.m_Unacknowledged = unacknowledgedTimeout(m_Options),
+                         .m_KeepAliveInterval = m_Options.m_KeepAliveInterval},
+          .m_Greets = m_Options.m_SpeaksOwnProtocol,
+          .m_RequestIdHeader = m_Options.m_RequestIdHeader} {
   m_Timer.setSingleShot(true);
   m_Timer.setTimerType(Qt::PreciseTimer);
   connect(&m_Timer, &QTimer::timeout, this,
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -3,8 +3,8 @@
 #include "coordination/FleetView.h"
 #include "support/RoutedTargets.h"
 
-#include <boost/test/unit_test.hpp>
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <memory>
 
 using namespace figturn;
@@ -77,7 +77,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(FleetViewTest, Fixture)
 
-BOOST_AUTO_TEST_CASE(Fleet_thatStartsAtOnce_isKnownEverywhereWithinFourSeconds) {
+BOOST_AUTO_TEST_CASE(
+    Fleet_thatStartsAtOnce_isKnownEverywhereWithinFourSeconds) {
   setFleet(15);
   runRounds(10);
   for (const auto &Each : m_Vms)
@@ -139,7 +140,8 @@
   BOOST_TEST(m_Vms[0]->takeChanges(m_Now).empty());
 }
 
-BOOST_AUTO_TEST_CASE(Vm_thatIsCutOff_namesTheOthersForAWhileAndThenItselfAlone) {
+BOOST_AUTO_TEST_CASE(
+    Vm_thatIsCutOff_namesTheOthersForAWhileAndThenItselfAlone) {
   setFleet(15);
   runRounds(10);
   m_Side[3] = 1;
--- /dev/null
+++ b/test/correctness/ForeignTargetPoolTest.cpp
@@ -0,0 +1,211 @@
+/** The pool towards targets that know nothing of figturn's own protocol. */
+
+#include "standin/RoutedStandins.h"
+#include "state/Errc.h"
+#include "support/FakeTarget.h"
+#include "transport/TargetPool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <map>
+
+using namespace figturn;
+using namespace figturn::test;
+using figturn::standin::PlainReply;
+using figturn::standin::PlainRequest;
+using figturn::standin::PlainServer;
+
+namespace {
+
+struct Fixture {
+  Fixture() {
+    ensureQtApplication();
+    m_Server = std::make_unique<PlainServer>(
+        [this](const PlainRequest &Request, PlainReply Reply) {
+          ++m_Requests;
+          m_OnRequest(Request, Reply);
+        });
+    start({});
+  }
+  ~Fixture() {
+    m_Pool.reset();
+    QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
+  }
+  void start(TargetPoolOptions Options) {
+    Options.m_Host = "127.0.0.1";
+    Options.m_Port = m_Server->port();
+    Options.m_SpeaksOwnProtocol = false;
+    Options.m_RequestIdHeader = "X-Request-Id";
+    Options.m_ReplyGrace = milliseconds(200);
+    m_Pool =
+        std::make_unique<TargetPool>(Options, [](const TargetObservation &) {});
+  }
+  void send(std::uint64_t Id, milliseconds Deadline = seconds(10),
+            const std::string &Method = "GET", std::size_t BodySize = 0) {
+    m_Pool->send({.m_Call = CallId(Id),
+                  .m_Deadline = Clock::now() + Deadline,
+                  .m_WriteRequest =
+                      [=](TimePoint) {
+                        return fmt::format(
+                            "{} /x HTTP/1.1\r\nX-Request-Id: {}\r\n"
+                            "Content-Length: {}\r\n\r\n{}",
+                            Method, Id, BodySize, std::string(BodySize, 'b'));
+                      },
+                  .m_RequestId = std::to_string(Id),
+                  .m_IsHead = Method == "HEAD"},
+                 [this](TargetResult Result) {
+                   m_Results[Result.m_Call.value()] = std::move(Result);
+                 });
+  }
+  TargetResult result(std::uint64_t Id) {
+    spinUntil([&] { return m_Results.contains(Id); });
+    return m_Results.at(Id);
+  }
+  static std::string named(const PlainRequest &Request) {
+    return "X-Request-Id: " + Request.header("x-request-id") + "\r\n";
+  }
+
+  std::function<void(const PlainRequest &, PlainReply)> m_OnRequest =
+      [](const PlainRequest &Request, PlainReply Reply) {
+        Reply.send(200, "ok", named(Request));
+      };
+  std::unique_ptr<PlainServer> m_Server;
+  std::unique_ptr<TargetPool> m_Pool;
+  std::map<std::uint64_t, TargetResult> m_Results;
+  std::size_t m_Requests = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ForeignTargetPoolTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Call_isSentWithoutAGreetingAndItsConnectionKept) {
+  send(1);
+  BOOST_TEST(result(1).m_Status == 200U);
+  send(2);
+  BOOST_TEST(result(2).m_Body == "ok");
+  BOOST_TEST(m_Requests == 2U);
+  BOOST_TEST(m_Server->accepted() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Reply_withoutALength_endsWithAnOrderlyCloseOnly) {
+  m_OnRequest = [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.sendRaw("HTTP/1.1 200 OK\r\n" + named(Request) + "\r\nbody");
+    if (Request.header("x-request-id") == "1")
+      Reply.close();
+    else
+      Reply.reset();
+  };
+  send(1);
+  BOOST_TEST(!result(1).m_Error);
+  BOOST_TEST(result(1).m_Body == "body");
+  send(2);
+  BOOST_TEST((result(2).m_Error == Errc::TruncatedReply ||
+              result(2).m_Error == Errc::ConnectionClosed));
+  BOOST_TEST((result(2).m_Verdict == RunVerdict::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(Reply_toAnotherRequest_isDroppedWithItsConnection) {
+  m_OnRequest = [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.send(200, "foreign", "X-Request-Id: other\r\n");
+    Reply.send(200, "own", named(Request));
+  };
+  send(1);
+  BOOST_TEST(result(1).m_Body == "own");
+  send(2);
+  BOOST_TEST(result(2).m_Body == "own");
+  BOOST_TEST(m_Server->accepted() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Bytes_thatComeUnaskedWhileIdle_endTheConnection) {
+  std::optional<PlainReply> First;
+  m_OnRequest = [&](const PlainRequest &Request, PlainReply Reply) {
+    First = Reply;
+    Reply.send(200, "ok", named(Request));
+  };
+  send(1);
+  result(1);
+  First->send(200, "late", "X-Request-Id: 1\r\n");
+  spinUntil([&] { return m_Pool->connections() == 0; });
+  send(2);
+  BOOST_TEST(result(2).m_Body == "ok");
+  BOOST_TEST(m_Server->accepted() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Reply_beforeTheWholeRequestWasSent_endsTheConnection) {
+  // The target answers at the head and reads the long body later.
+  constexpr std::size_t LongBody = 64U << 20;
+  QTcpServer Early;
+  Early.listen(QHostAddress::LocalHost);
+  QObject::connect(&Early, &QTcpServer::newConnection, &Early, [&] {
+    QTcpSocket *Socket = Early.nextPendingConnection();
+    Socket->setReadBufferSize(1024);
+    Socket->write("HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n");
+  });
+  m_Pool = std::make_unique<TargetPool>(
+      TargetPoolOptions{.m_Host = "127.0.0.1",
+                        .m_Port = Early.serverPort(),
+                        .m_SpeaksOwnProtocol = false},
+      [](const TargetObservation &) {});
+  send(1, seconds(10), "POST", LongBody);
+  BOOST_TEST(result(1).m_Status == 413U);
+  BOOST_TEST(m_Pool->connections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Reply_toAHead_hasNoBodyWhateverItsLengthSays) {
+  m_OnRequest = [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n" + named(Request) +
+                  "\r\n");
+  };
+  send(1, seconds(10), "HEAD");
+  BOOST_TEST(result(1).m_Status == 200U);
+  BOOST_TEST(result(1).m_Body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Cancel_closesTheCallsOwnConnection) {
+  m_OnRequest = [](const PlainRequest &, PlainReply) {};
+  send(1);
+  spinUntil([&] { return m_Requests == 1; });
+  m_Pool->cancel(CallId(1));
+  BOOST_TEST((result(1).m_Error == Errc::Cancelled));
+  BOOST_TEST((result(1).m_Verdict == RunVerdict::MayHaveRun));
+  BOOST_TEST(m_Pool->connections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Withdrawal_endsACallOnlyBeforeItsFirstByte) {
+  start({.m_MaxConnections = 1});
+  m_OnRequest = [](const PlainRequest &, PlainReply) {};
+  send(1);
+  send(2);
+  spinUntil([&] { return m_Requests == 1; });
+  BOOST_TEST(!m_Pool->withdraw(CallId(1)));
+  BOOST_TEST(m_Pool->withdraw(CallId(2)));
+  BOOST_TEST((result(2).m_Verdict == RunVerdict::NotRun));
+  BOOST_TEST(!m_Pool->withdraw(CallId(2)));
+}
+
+BOOST_AUTO_TEST_CASE(Call_thatIsMerelySlow_isNotCutForItsSilence) {
+  start({.m_SilenceThreshold = milliseconds(40)});
+  std::optional<std::pair<PlainRequest, PlainReply>> Held;
+  m_OnRequest = [&](const PlainRequest &Request, PlainReply Reply) {
+    Held.emplace(Request, Reply);
+  };
+  send(1);
+  // A probe's connection shows that the threshold has passed.
+  spinUntil([&] { return m_Server->accepted() >= 2; });
+  QTimer::singleShot(
+      200, [&] { Held->second.send(200, "slow", named(Held->first)); });
+  BOOST_TEST(result(1).m_Body == "slow");
+}
+
+BOOST_AUTO_TEST_CASE(Target_thatClosesIdleConnectionsSoon_isNotMetByACall) {
+  m_OnRequest = [](const PlainRequest &Request, PlainReply Reply) {
+    Reply.send(200, "ok", named(Request) + "Keep-Alive: timeout=1\r\n");
+  };
+  send(1);
+  result(1);
+  spinUntil([&] { return m_Pool->connections() == 0; });
+  BOOST_TEST(m_Requests == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/GossipCodecTest.cpp
+++ b/test/correctness/GossipCodecTest.cpp
@@ -16,15 +16,16 @@
         {.m_Key = static_cast<std::uint32_t>(0x9e3779b9U * (I + 1)),
          .m_Beat = 1000 + I});
   for (std::size_t I = 0; I < Records; ++I)
-    News.m_Records.push_back({.m_Vm = VmName("frontend-nz-south-a-" + std::to_string(I)),
-                       .m_StartedMs = 1785822630279,
-                       .m_Beat = I,
-                       .m_Phase = VmPhase::Stopping,
-                       .m_DataCentre = DataCentreName("nz-south-a"),
-                       .m_CallerAddress = "10.1.0.39:8226",
-                       .m_GossipAddress = "10.1.0.39:7740",
-                       .m_StateAddress = "10.1.0.39:8224",
-                       .m_ConfigVersion = 17});
+    News.m_Records.push_back(
+        {.m_Vm = VmName("frontend-nz-south-a-" + std::to_string(I)),
+         .m_StartedMs = 1785822630279,
+         .m_Beat = I,
+         .m_Phase = VmPhase::Stopping,
+         .m_DataCentre = DataCentreName("nz-south-a"),
+         .m_CallerAddress = "10.1.0.39:8226",
+         .m_GossipAddress = "10.1.0.39:7740",
+         .m_StateAddress = "10.1.0.39:8224",
+         .m_ConfigVersion = 17});
   return News;
 }
 
@@ -44,9 +45,8 @@
   const std::size_t Room =
       Options.m_BeatsPerMessage - Records * Options.m_BeatsPerRecord;
   BOOST_TEST(encodeGossip(makeNews(Records, Room)).size() <= EthernetPayload);
-  BOOST_TEST(encodeGossip(
-                 makeNews(2, Options.m_BeatsPerMessage -
-                                 2 * Options.m_BeatsPerRecord))
+  BOOST_TEST(encodeGossip(makeNews(2, Options.m_BeatsPerMessage -
+                                          2 * Options.m_BeatsPerRecord))
                  .size() <= EthernetPayload);
 }
 
--- a/test/correctness/RoutedPolicyTest.cpp
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -6,8 +6,8 @@
 #include "state/Errc.h"
 #include "support/RoutedTargets.h"
 
-#include <boost/test/unit_test.hpp>
 #include <array>
+#include <boost/test/unit_test.hpp>
 
 using namespace figturn;
 using namespace figturn::test;
@@ -53,9 +53,8 @@
     const auto Pause = m_Advice.pause(Errc::TargetShed, seconds(4)).value();
     Least = std::min(Least, Pause);
     Most = std::max(Most, Pause);
-    BOOST_TEST(
-        (m_Advice.pause(Errc::NoTarget, milliseconds(400)).value() <=
-         milliseconds(120)));
+    BOOST_TEST((m_Advice.pause(Errc::NoTarget, milliseconds(400)).value() <=
+                milliseconds(120)));
   }
   BOOST_TEST((Least >= milliseconds(60)));
   BOOST_TEST((Most <= milliseconds(180)));
@@ -69,7 +68,8 @@
 
 BOOST_AUTO_TEST_CASE(Rotation_givesEachServiceItsExactShare) {
   const std::array<WeightedService, 3> Services{
-      WeightedService{ServiceName("a"), 5}, WeightedService{ServiceName("b"), 0},
+      WeightedService{ServiceName("a"), 5},
+      WeightedService{ServiceName("b"), 0},
       WeightedService{ServiceName("c"), 15}};
   WeightedRotation Rotation;
   std::array<int, 3> Counts{};
--- a/test/correctness/RoutedProtocolTest.cpp
+++ b/test/correctness/RoutedProtocolTest.cpp
@@ -16,19 +16,18 @@
                         .m_NotExecuted = "X-Not-Run",
                         .m_PartStamps = "X-Parts",
                         .m_MissingShards = "X-Missing"};
-  HttpRequest m_Request{
-      .m_Method = "POST",
-      .m_Target = "/a/b?x=%20",
-      .m_Path = "/a/b",
-      .m_Headers = {{"Host", "h.example"},
-                    {"X-Id", "42"},
-                    {"x-deadline", "400"},
-                    {"X-Expect", "forged"},
-                    {"Connection", "close, X-Hop"},
-                    {"X-Hop", "1"},
-                    {"Transfer-Encoding", "chunked"},
-                    {"X-Custom", "kept"}},
-      .m_Body = "abc"};
+  HttpRequest m_Request{.m_Method = "POST",
+                        .m_Target = "/a/b?x=%20",
+                        .m_Path = "/a/b",
+                        .m_Headers = {{"Host", "h.example"},
+                                      {"X-Id", "42"},
+                                      {"x-deadline", "400"},
+                                      {"X-Expect", "forged"},
+                                      {"Connection", "close, X-Hop"},
+                                      {"X-Hop", "1"},
+                                      {"Transfer-Encoding", "chunked"},
+                                      {"X-Custom", "kept"}},
+                        .m_Body = "abc"};
 
   std::string written() const {
     return writeRoutedCall(m_Request, {.m_Name = TargetName("i-1")},
@@ -86,24 +85,24 @@
 BOOST_AUTO_TEST_CASE(Success_needsTheTargetsStampAndItsOwnBody) {
   BOOST_TEST((classify(200, {{"X-Stamp", "s"}}) == CallOutcome::Answered));
   BOOST_TEST((classify(200, {}) == CallOutcome::Failed));
-  BOOST_TEST(
-      (classify(200, {{"X-Stamp", "s"}, {"Content-Encoding", "gzip"}}) ==
-       CallOutcome::Failed));
+  BOOST_TEST((classify(200, {{"X-Stamp", "s"}, {"Content-Encoding", "gzip"}}) ==
+              CallOutcome::Failed));
 }
 
 BOOST_AUTO_TEST_CASE(Refusal_ofTheService_isAnAnswerButNoPart) {
   const HttpHeaders Stamped{{"X-Stamp", "s"}};
   BOOST_TEST((classify(404, Stamped) == CallOutcome::Answered));
-  BOOST_TEST(
-      (classifyPart(404, Stamped, m_Names) == CallOutcome::Failed));
+  BOOST_TEST((classifyPart(404, Stamped, m_Names) == CallOutcome::Failed));
   BOOST_TEST((classify(500, Stamped) == CallOutcome::Failed));
 }
 
 BOOST_AUTO_TEST_CASE(Reply_isPassedOnWithoutHeadersOfItsConnection) {
-  const HttpResponse Passed =
-      passReply(201, {{"X-Stamp", "s"}, {"Keep-Alive", "timeout=5"},
-                      {"Content-Length", "2"}, {"Content-Type", "a/b"}},
-                "ok");
+  const HttpResponse Passed = passReply(201,
+                                        {{"X-Stamp", "s"},
+                                         {"Keep-Alive", "timeout=5"},
+                                         {"Content-Length", "2"},
+                                         {"Content-Type", "a/b"}},
+                                        "ok");
   BOOST_TEST(Passed.m_Status == 201U);
   BOOST_TEST(Passed.m_Headers.size() == 2U);
   BOOST_TEST(headerValue(Passed.m_Headers, "content-type") == "a/b");
@@ -129,8 +128,8 @@
       Status(RunVerdict::MayHaveRun, Errc::ConnectionClosed);
   BOOST_TEST(Maybe.m_Status == 502U);
   BOOST_TEST(headerValue(Maybe.m_Headers, "Retry-After").empty());
-  BOOST_TEST(
-      Status(RunVerdict::MayHaveRun, Errc::DeadlineExceeded).m_Status == 504U);
+  BOOST_TEST(Status(RunVerdict::MayHaveRun, Errc::DeadlineExceeded).m_Status ==
+             504U);
   BOOST_TEST(Status(RunVerdict::NotRun, Errc::UnknownRoute).m_Status == 404U);
 }
 
--- /dev/null
+++ b/test/correctness/StateFeedTest.cpp
@@ -0,0 +1,184 @@
+/** Following the platform's store through its faults. */
+
+#include "platform/StateFeed.h"
+#include "standin/RoutedStandins.h"
+#include "support/FakeTarget.h"
+#include "support/RoutedFleet.h"
+#include "support/RoutedTargets.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace figturn;
+using namespace figturn::platform;
+using namespace figturn::test;
+using figturn::standin::SearcherStandin;
+using figturn::standin::StoreStandin;
+
+namespace {
+
+class Recorder final : public PlatformListener {
+public:
+  void onConfig(RoutingConfigPtr Config) override {
+    m_Versions.push_back(Config->version().value());
+  }
+  void onTargets(std::vector<TargetEntry> Entries) override {
+    m_Listings.push_back(Entries.size());
+  }
+  void onTarget(TargetEntry Entry) override {
+    m_Changed.push_back(Entry.m_Instance.m_Name.value());
+  }
+  void onTargetRemoved(const TargetName &Name) override {
+    m_Removed.push_back(Name.value());
+  }
+  void onEvacuations(std::set<DataCentreName> Evacuated) override {
+    m_Evacuated = std::move(Evacuated);
+  }
+  void onVmAddresses(const std::vector<std::string> &Addresses) override {
+    m_Vms = Addresses;
+  }
+
+  std::vector<std::uint64_t> m_Versions;
+  std::vector<std::size_t> m_Listings;
+  std::vector<std::string> m_Changed;
+  std::vector<std::string> m_Removed;
+  std::set<DataCentreName> m_Evacuated;
+  std::vector<std::string> m_Vms;
+};
+
+struct Fixture {
+  Fixture() {
+    ensureQtApplication();
+    m_Store = std::make_unique<StoreStandin>();
+    m_Store->put("config", "main", routedConfig(3));
+    m_Searcher = std::make_unique<SearcherStandin>("i-1", "desk", "nz-south-a");
+    m_Store->put("servers", "i-1", m_Searcher->entry());
+  }
+  ~Fixture() {
+    m_Feed.reset();
+    QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
+  }
+  void start() {
+    RoutedSettings Settings;
+    Settings.m_Vm = VmName("vm-1");
+    Settings.m_StoreAddress = m_Store->address();
+    Settings.m_GossipAddress = "127.0.0.1:7740";
+    m_Feed = std::make_unique<StateFeed>(Settings, 1);
+    m_Feed->start(m_Seen);
+  }
+  void startAndSettle() {
+    start();
+    spinUntil([&] {
+      return m_Feed->isCurrent() && m_Store->m_Calls["watch servers"] == 1 &&
+             m_Store->m_Calls["watch config"] == 1;
+    });
+  }
+
+  std::unique_ptr<StoreStandin> m_Store;
+  std::unique_ptr<SearcherStandin> m_Searcher;
+  Recorder m_Seen;
+  std::unique_ptr<StateFeed> m_Feed;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StateFeedTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(State_isListedOnceAndThenWatched) {
+  startAndSettle();
+  BOOST_TEST(m_Seen.m_Versions == std::vector<std::uint64_t>{3});
+  BOOST_TEST(m_Seen.m_Listings == std::vector<std::size_t>{1});
+  m_Store->put("config", "main", routedConfig(5));
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  m_Store->put("evacuations", "nz-south-b", {});
+  spinUntil([&] {
+    return m_Seen.m_Versions.size() == 2 && !m_Seen.m_Changed.empty() &&
+           !m_Seen.m_Evacuated.empty();
+  });
+  m_Store->remove("evacuations", "nz-south-b");
+  m_Store->remove("servers", "i-1");
+  spinUntil(
+      [&] { return m_Seen.m_Evacuated.empty() && !m_Seen.m_Removed.empty(); });
+  BOOST_TEST(m_Store->m_Calls["list config"] == 1);
+  BOOST_TEST(m_Store->m_Calls["list servers"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Listing_ofManyPages_isReadWhole) {
+  m_Store->m_PageSize = 2;
+  for (int I = 2; I <= 7; ++I)
+    m_Store->put("servers", "i-" + std::to_string(I), m_Searcher->entry());
+  startAndSettle();
+  BOOST_TEST(m_Seen.m_Listings == std::vector<std::size_t>{7});
+  BOOST_TEST(m_Store->m_Calls["list servers"] == 4);
+}
+
+BOOST_AUTO_TEST_CASE(History_thatIsGone_isMadeUpForByAListing) {
+  startAndSettle();
+  m_Store->m_WatchesAreDeaf = true;
+  m_Store->put("config", "main", routedConfig(9));
+  m_Store->remove("servers", "i-1");
+  m_Store->forgetHistory();
+  m_Store->m_WatchesAreDeaf = false;
+  m_Store->cutConnections();
+  spinUntil([&] {
+    return m_Seen.m_Versions.size() == 2 && m_Seen.m_Listings.size() == 2;
+  });
+  BOOST_TEST(m_Seen.m_Versions.back() == 9U);
+  BOOST_TEST(m_Seen.m_Listings.back() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Store_thatIsDown_changesNothingAndIsFollowedAgain) {
+  startAndSettle();
+  m_Store->m_IsDown = true;
+  m_Store->cutConnections();
+  spinUntil([&] { return !m_Feed->isCurrent(); });
+  BOOST_TEST(m_Seen.m_Removed.empty());
+  m_Store->m_IsDown = false;
+  m_Store->put("config", "main", routedConfig(4));
+  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
+  spinUntil([&] { return m_Feed->isCurrent(); });
+  BOOST_TEST(m_Seen.m_Removed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Version_thatIsOlder_isNeverTaken) {
+  startAndSettle();
+  m_Store->put("config", "main", routedConfig(2));
+  m_Store->put("config", "main", routedConfig(6));
+  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
+  BOOST_TEST(m_Seen.m_Versions.back() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(Vm_registersOnceAndFindsTheOthers) {
+  m_Store->put("figturn-vms", "vm-2", {{"gossipAddress", "10.0.0.2:7740"}});
+  startAndSettle();
+  spinUntil([&] { return !m_Seen.m_Vms.empty(); });
+  spinUntil([&] { return m_Store->m_Calls["write figturn-vms"] == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(Copy_ofAnotherVm_servesWhileTheStoreIsDown) {
+  startAndSettle();
+  const std::string Copy = m_Feed->exportState();
+  m_Feed.reset();
+  m_Store->m_IsDown = true;
+  m_Seen = {};
+  start();
+  m_Feed->importState(Copy);
+  BOOST_TEST(m_Seen.m_Versions == std::vector<std::uint64_t>{3});
+  BOOST_TEST(m_Seen.m_Listings == std::vector<std::size_t>{1});
+  // Neither a copy that says less nor one that is no copy takes any back.
+  m_Feed->importState("{}");
+  m_Feed->importState("not json");
+  BOOST_TEST(m_Seen.m_Listings.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Hint_ofALaterVersion_isCheckedAtTheStore) {
+  startAndSettle();
+  m_Store->m_WatchesAreDeaf = true;
+  m_Store->put("config", "main", routedConfig(8));
+  m_Feed->hintNewerConfig(8, Start);
+  BOOST_TEST(m_Store->m_Calls["list config"] == 1);
+  m_Feed->hintNewerConfig(8, Start + seconds(1));
+  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
+  BOOST_TEST(m_Seen.m_Versions.back() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetRegistryTest.cpp
+++ b/test/correctness/TargetRegistryTest.cpp
@@ -27,8 +27,7 @@
   BOOST_TEST(m_Registry.remove(TargetName("t-1"), Start).m_Missing.size() ==
              1U);
   BOOST_TEST(known() == 1U);
-  BOOST_TEST(
-      m_Registry.expire(Start + milliseconds(2399)).m_Gone.empty());
+  BOOST_TEST(m_Registry.expire(Start + milliseconds(2399)).m_Gone.empty());
   BOOST_TEST((m_Registry.nextExpiry() == Start + milliseconds(2400)));
   BOOST_TEST(m_Registry.expire(Start + milliseconds(2400)).m_Gone.size() == 1U);
   BOOST_TEST(known() == 0U);
@@ -57,8 +56,8 @@
 BOOST_AUTO_TEST_CASE(Name_withALaterStart_isAnotherTarget) {
   add(makeEntry("t-1", "shard-0", "nz-south-a", 1000));
   const TargetPtr Before = m_Registry.targets(m_Service)[0];
-  const auto Change = m_Registry.upsert(
-      makeEntry("t-1", "shard-0", "nz-south-a", 2000), Start);
+  const auto Change =
+      m_Registry.upsert(makeEntry("t-1", "shard-0", "nz-south-a", 2000), Start);
   BOOST_TEST(Change.m_Restarted.size() == 1U);
   BOOST_TEST((m_Registry.targets(m_Service)[0] != Before));
   BOOST_TEST(known() == 1U);
--- a/test/process/RoutedDoorTest.cpp
+++ b/test/process/RoutedDoorTest.cpp
@@ -78,9 +78,9 @@
     m_Fleet.m_Store->put("servers", "i-left", m_Left->entry("draining"));
     m_Fleet.m_Store->put("servers", "i-right", m_Right->entry("draining"));
   });
-  BOOST_TEST(m_Vm->m_Process
-                 ->waitForLine("F0612", "target=i-right draining=true")
-                 .has_value());
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0612", "target=i-right draining=true")
+          .has_value());
   const std::size_t Before = runs(*m_Left);
   const RoutedAnswer Refused = get("/search/x");
   BOOST_TEST(Refused.m_Status == 503U);
@@ -104,10 +104,11 @@
 
 BOOST_AUTO_TEST_CASE(SingleRun_whoseAnswerIsLost_isNeitherRepeatedNorDenied) {
   m_Fleet.addSearcher("i-desk-2", "desk");
-  BOOST_TEST(m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2")
-                 .has_value());
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2").has_value());
   for (SearcherStandin *Each : {m_Desk, m_Fleet.m_Searchers.back().get()})
-    script(*Each, [](const PlainRequest &, PlainReply Reply) { Reply.reset(); });
+    script(*Each,
+           [](const PlainRequest &, PlainReply Reply) { Reply.reset(); });
   const RoutedAnswer Answer = book("b-2");
   BOOST_TEST(Answer.m_Status == 502U);
   BOOST_TEST(runs(*m_Desk) + runs(*m_Fleet.m_Searchers.back()) == 1U);
@@ -115,8 +116,8 @@
 
 BOOST_AUTO_TEST_CASE(SingleRun_thatATargetRefused_runsAtAnother) {
   m_Fleet.addSearcher("i-desk-2", "desk");
-  BOOST_TEST(m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2")
-                 .has_value());
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0612", "target=i-desk-2").has_value());
   script(*m_Desk, [](const PlainRequest &, PlainReply Reply) {
     Reply.send(503, "", "X-Not-Executed: 1\r\n");
   });
@@ -160,9 +161,9 @@
     m_Fleet.m_Store->put("servers", "i-gone", m_Desk->entry());
     m_Fleet.m_Store->put("servers", "i-desk", m_Desk->entry("draining"));
   });
-  BOOST_TEST(m_Vm->m_Process
-                 ->waitForLine("F0612", "target=i-desk draining=true")
-                 .has_value());
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0612", "target=i-desk draining=true")
+          .has_value());
   const RoutedAnswer Answer = book("b-6");
   BOOST_TEST(Answer.m_Status == 503U);
   BOOST_TEST(runs(*m_Desk) == 0U);
@@ -186,9 +187,7 @@
   BOOST_TEST(m_Vm->m_Process->waitForLine("F0711", "id=l-1").has_value());
   Client.close();
   BOOST_TEST(m_Vm->m_Process->waitForLine("F0717", "id=l-1").has_value());
-  BOOST_TEST(m_Vm->m_Process
-                 ->waitForLine("F0717", "cancelled=1")
-                 .has_value());
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0717", "cancelled=1").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(Configuration_thatChanges_comesInForceAndStays) {
@@ -239,13 +238,13 @@
 BOOST_AUTO_TEST_CASE(Vms_findEachOtherAndNameBoth) {
   const RoutedFleet::Vm &Second = m_Fleet.startVm();
   const std::string Added = fmt::format("127.0.0.2:{}", Second.m_Caller);
-  BOOST_TEST(m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=true")
-                 .has_value());
+  BOOST_TEST(
+      m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=true").has_value());
   BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
                  .m_Body.find(Added) != std::string::npos);
   Second.m_Process->signal(SIGKILL);
-  BOOST_TEST(
-      m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=false").has_value());
+  BOOST_TEST(m_Vm->m_Process->waitForLine("F0353", "vm=vm-2 serves=false")
+                 .has_value());
   BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
                  .m_Body.find(Added) == std::string::npos);
 }
@@ -256,14 +255,17 @@
   BOOST_TEST(Listed.m_Status == 200U);
   BOOST_TEST(Listed.m_Body.find(fmt::format("127.0.0.1:{}", m_Vm->m_Caller)) !=
              std::string::npos);
-  BOOST_TEST(RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness")
-                 .m_Status == 200U);
+  BOOST_TEST(
+      RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness").m_Status ==
+      200U);
   m_Vm->m_Process->signal(SIGTERM);
   BOOST_TEST(m_Vm->m_Process->waitForLine("F0103").has_value());
-  BOOST_TEST(RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness")
-                 .m_Status == 503U);
-  BOOST_TEST(RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve")
-                 .m_Status == 503U);
+  BOOST_TEST(
+      RoutedFleet::call(m_Vm->m_Readiness, "GET", "/api/readiness").m_Status ==
+      503U);
+  BOOST_TEST(
+      RoutedFleet::call(m_Vm->m_Directory, "GET", "/api/resolve").m_Status ==
+      503U);
 }
 
 BOOST_AUTO_TEST_CASE(PlannedStop_cutsNoRequestThatWasTaken) {
@@ -283,8 +285,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Settings_thatChange_areReadAgainOrLeft) {
-  const std::string File =
-      m_Fleet.m_Folder.filePath("vm-1").toStdString();
+  const std::string File = m_Fleet.m_Folder.filePath("vm-1").toStdString();
   m_Fleet.writeSettings(*m_Vm, File, 3);
   m_Vm->m_Process->signal(SIGHUP);
   BOOST_TEST(m_Vm->m_Process->waitForLine("F0107").has_value());
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -126,12 +126,11 @@
                        const QJsonObject &Spec) {
   ++m_Revision;
   const QJsonObject Object{
-      {"meta",
-       QJsonObject{{"name", qt(Name)},
-                   {"revision", static_cast<qint64>(m_Revision)},
-                   {"created", 1},
-                   {"finalizers", QJsonArray{}},
-                   {"deleting", false}}},
+      {"meta", QJsonObject{{"name", qt(Name)},
+                           {"revision", static_cast<qint64>(m_Revision)},
+                           {"created", 1},
+                           {"finalizers", QJsonArray{}},
+                           {"deleting", false}}},
       {"spec", Spec},
       {"status", QJsonValue::Null}};
   m_Objects[Kind][Name] = Object;
@@ -157,7 +156,8 @@
       {m_Revision, Kind,
        QJsonObject{{"tombstone", Removed}, {"object", Object}}});
   if (!m_WatchesAreDeaf)
-    m_Watches.remove_if([this](const Watch &Each) { return answerWatch(Each); });
+    m_Watches.remove_if(
+        [this](const Watch &Each) { return answerWatch(Each); });
 }
 
 void StoreStandin::forgetHistory() {
@@ -207,10 +207,9 @@
       break;
     Items.append(Object);
   }
-  Reply.send(200,
-             compact({{"items", Items},
-                      {"more", More},
-                      {"current_rev", static_cast<qint64>(m_Revision)}}));
+  Reply.send(200, compact({{"items", Items},
+                           {"more", More},
+                           {"current_rev", static_cast<qint64>(m_Revision)}}));
 }
 
 void StoreStandin::watch(const std::string &Kind, const PlainRequest &Request,
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -92,7 +92,7 @@
   /** Ends all connections, and with them waiting watches. */
   void cutConnections();
 
-  bool m_IsDown = false;    ///< Answers 503.
+  bool m_IsDown = false;         ///< Answers 503.
   bool m_WatchesAreDeaf = false; ///< Waiting watches hear of nothing.
   std::size_t m_PageSize = 500;
   std::map<std::string, int> m_Calls; ///< By "list KIND", "watch KIND", ...
--- a/test/support/LoadReplay.h
+++ b/test/support/LoadReplay.h
@@ -60,7 +60,7 @@
 /** What callers saw. */
 struct ReplayResult {
   std::size_t m_Searches = 0;
-  std::size_t m_OnTime = 0;  ///< Answered within the objective.
+  std::size_t m_OnTime = 0;   ///< Answered within the objective.
   std::size_t m_Complete = 0; ///< Of these, with all shards.
   std::size_t m_Failed = 0;
   std::uint64_t m_FirstCalls = 0;
@@ -200,12 +200,10 @@
         .m_At = m_Now,
         .m_Rule = CoverageRule(
             {.m_LeastCoverage = m_Options.m_LeastCoverage,
-             .m_OnTimeUntil =
-                 m_Now + m_Options.m_Objective - milliseconds(12),
+             .m_OnTimeUntil = m_Now + m_Options.m_Objective - milliseconds(12),
              .m_Deadline = m_Now + m_Options.m_Deadline})});
-    const TimePoint HedgeAt = m_Options.m_Hedges
-                                  ? m_Now + On.m_Hedges.delay()
-                                  : TimePoint::max();
+    const TimePoint HedgeAt =
+        m_Options.m_Hedges ? m_Now + On.m_Hedges.delay() : TimePoint::max();
     for (std::size_t I = 0; I < m_Options.m_Shards; ++I) {
       const ServiceName Service(serviceName(I));
       On.budget(Service).earn(1);
@@ -277,7 +275,8 @@
         On.m_Hedges.record(Took, m_Now);
       if (Run->m_Done)
         return;
-      if (const auto Next = Run->m_Races[Shard].onOutcome(To, Outcome, On, m_Now))
+      if (const auto Next =
+              Run->m_Races[Shard].onOutcome(To, Outcome, On, m_Now))
         send(Run, Shard, *Next);
       decide(Run);
     };
@@ -298,10 +297,9 @@
     ++At.m_Arrivals;
     if (At.m_IsDark)
       return;
-    const bool Refuses =
-        std::uniform_real_distribution<double>(0, 1)(m_Random) <
-            At.m_RefusedShare ||
-        At.m_Queue.size() >= QueueLimit;
+    const bool Refuses = std::uniform_real_distribution<double>(0, 1)(
+                             m_Random) < At.m_RefusedShare ||
+                         At.m_Queue.size() >= QueueLimit;
     if (Refuses) {
       at(m_Now + milliseconds(1), [End] { End(CallOutcome::Refused); });
       return;
--- a/test/support/RoutedFleet.h
+++ b/test/support/RoutedFleet.h
@@ -101,7 +101,8 @@
     m_Vms.push_back(std::make_unique<Vm>());
     Vm &Started = *m_Vms.back();
     Started.m_Name = fmt::format("vm-{}", m_Vms.size());
-    Started.m_Host = INADDR_LOOPBACK + static_cast<std::uint32_t>(m_Vms.size()) - 1;
+    Started.m_Host =
+        INADDR_LOOPBACK + static_cast<std::uint32_t>(m_Vms.size()) - 1;
     launch(Started, Waits);
     return Started;
   }
@@ -125,19 +126,19 @@
     QFile Output(QString::fromStdString(File));
     if (!Output.open(QIODevice::WriteOnly))
       throw std::runtime_error("the settings can't be written");
-    Output.write(QByteArray::fromStdString(
-        toCompactText({{"door", "routed"},
-                       {"vm", toQt(Of.m_Name)},
-                       {"dataCentre", "dc-a"},
-                       {"callerAddress", Address(Of.m_Caller)},
-                       {"readinessAddress", Address(Of.m_Readiness)},
-                       {"directoryAddress", Address(Of.m_Directory)},
-                       {"controlAddress", Address(Of.m_Control)},
-                       {"gossipAddress", Address(m_GossipPort)},
-                       {"seeds", toQt(fmt::format("127.0.0.1:{}", m_Vms.front()->m_Control))},
-                       {"storeAddress", toQt(m_Store->address())},
-                       {"retrySlack", 50},
-                       {"graceSeconds", GraceSeconds}})));
+    Output.write(QByteArray::fromStdString(toCompactText(
+        {{"door", "routed"},
+         {"vm", toQt(Of.m_Name)},
+         {"dataCentre", "dc-a"},
+         {"callerAddress", Address(Of.m_Caller)},
+         {"readinessAddress", Address(Of.m_Readiness)},
+         {"directoryAddress", Address(Of.m_Directory)},
+         {"controlAddress", Address(Of.m_Control)},
+         {"gossipAddress", Address(m_GossipPort)},
+         {"seeds", toQt(fmt::format("127.0.0.1:{}", m_Vms.front()->m_Control))},
+         {"storeAddress", toQt(m_Store->address())},
+         {"retrySlack", 50},
+         {"graceSeconds", GraceSeconds}})));
   }
 
   static RoutedAnswer call(std::uint16_t Port, const std::string &Method,
@@ -162,8 +163,8 @@
   }
   static std::string requestHeaders(const std::string &Id,
                                     int DeadlineMs = 3000) {
-    return fmt::format(
-        "X-Request-Id: {}\r\nX-Deadline-Milliseconds: {}\r\n", Id, DeadlineMs);
+    return fmt::format("X-Request-Id: {}\r\nX-Deadline-Milliseconds: {}\r\n",
+                       Id, DeadlineMs);
   }
 
   struct QtReady {
@@ -179,23 +180,21 @@
   std::vector<std::unique_ptr<Vm>> m_Vms;
 };
 
-/** A configuration with a search over s-0 and s-1 and plain routes to "desk". */
+/** A configuration with a search over s-0 and s-1 and plain routes to "desk".
+ */
 inline QJsonObject routedConfig(int Version) {
   const auto Service = [](const char *Name) {
-    return QJsonObject{{"name", Name},          {"health_path", "/health"},
+    return QJsonObject{{"name", Name},           {"health_path", "/health"},
                        {"connection_limit", 20}, {"protocol", "h1"},
                        {"tls", false},           {"cold_start_s", 3.0},
                        {"cold_per_s", 0.0}};
   };
-  const auto Route = [](const char *Name, const char *Prefix, const char *Kind) {
-    return QJsonObject{{"name", Name},
-                       {"host", "h.example"},
-                       {"path_prefix", Prefix},
-                       {"kind", Kind},
-                       {"timeout_ms", 3000},
-                       {"target_latency_ms", 1000},
-                       {"priority", 1},
-                       {"attempts", 2}};
+  const auto Route = [](const char *Name, const char *Prefix,
+                        const char *Kind) {
+    return QJsonObject{{"name", Name},          {"host", "h.example"},
+                       {"path_prefix", Prefix}, {"kind", Kind},
+                       {"timeout_ms", 3000},    {"target_latency_ms", 1000},
+                       {"priority", 1},         {"attempts", 2}};
   };
   QJsonObject Search = Route("search", "/search/", "safe");
   Search["gather"] = QJsonArray{"s-0", "s-1"};
@@ -205,14 +204,14 @@
   Look["service"] = "desk";
   QJsonObject Book = Route("book", "/book/", "unsafe");
   Book["service"] = "desk";
-  return {{"version", Version},
-          {"routes", QJsonArray{Search, Look, Book}},
-          {"services",
-           QJsonArray{Service("s-0"), Service("s-1"), Service("desk")}},
-          {"limits", QJsonObject{{"header_bytes", 16384},
-                                 {"body_bytes", 262144},
-                                 {"header_timeout_ms", 3000},
-                                 {"idle_timeout_ms", 15000}}}};
+  return {
+      {"version", Version},
+      {"routes", QJsonArray{Search, Look, Book}},
+      {"services", QJsonArray{Service("s-0"), Service("s-1"), Service("desk")}},
+      {"limits", QJsonObject{{"header_bytes", 16384},
+                             {"body_bytes", 262144},
+                             {"header_timeout_ms", 3000},
+                             {"idle_timeout_ms", 15000}}}};
 }
 
 } // namespace figturn::test
