Let twelve VMs watch the store in a large fleet and send callers to large VMs

Ruled out: fewer kinds watched (each must be in force within seconds), one watcher a data centre (a zone's loss or a cut takes it), longer waits (the store allows 30 s). Change: rendezvous order names twelve watchers among the VMs that reach the store, all in fleets up to 20; gossip names who has the latest state, others read just what changed from them. The directory names large VMs while they are four or more in two places and their loops are not late, else each VM in proportion to its capacity.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -31,6 +31,51 @@
   m_Self.m_ConfigVersion = ConfigVersion;
 }
 
+void FleetView::setLag(milliseconds Lag) {
+  m_Self.m_LagMs =
+      static_cast<std::uint32_t>(std::max<std::int64_t>(Lag.count(), 0));
+}
+
+void FleetView::setState(const StateVersion &Version, bool ReachesStore) {
+  m_State = Version;
+  m_Self.m_ReachesStore = ReachesStore;
+  if (Version.sum() > 0)
+    takeHolder({.m_Address = m_Self.m_StateAddress, .m_Version = Version});
+}
+
+void FleetView::takeHolder(const StateHolder &Holder) {
+  const auto Known =
+      std::find_if(m_Holders.begin(), m_Holders.end(), [&](const auto &Each) {
+        return Each.m_Address == Holder.m_Address;
+      });
+  if (Known == m_Holders.end())
+    m_Holders.push_back(Holder);
+  else if (Holder.m_Version.sum() > Known->m_Version.sum())
+    Known->m_Version = Holder.m_Version;
+  std::stable_sort(m_Holders.begin(), m_Holders.end(),
+                   [](const StateHolder &Left, const StateHolder &Right) {
+                     return Left.m_Version.sum() > Right.m_Version.sum();
+                   });
+  m_Holders.resize(std::min(m_Holders.size(), m_Options.m_Holders));
+}
+
+std::optional<StateHolder> FleetView::newsHolder() {
+  std::vector<StateHolder> Useful;
+  for (const StateHolder &Each : m_Holders)
+    if (Each.m_Version.hasNewsFor(m_State) &&
+        Each.m_Address != m_Self.m_StateAddress)
+      Useful.push_back(Each);
+  if (Useful.empty())
+    return std::nullopt;
+  return Useful[m_Random() % Useful.size()];
+}
+
+void FleetView::forgetHolder(const std::string &Address) {
+  std::erase_if(m_Holders, [&](const StateHolder &Each) {
+    return Each.m_Address == Address;
+  });
+}
+
 std::vector<std::string> FleetView::pickReceivers(TimePoint Now) {
   std::vector<std::string> Known;
   std::set<std::string> Unheard = m_Seeds;
@@ -58,6 +103,7 @@
   Message.m_News.m_Records.push_back(m_Self);
   addRecords(Message.m_News, Now);
   addBeats(Message.m_News, Now);
+  Message.m_News.m_Holders = m_Holders;
   return Message;
 }
 
@@ -96,8 +142,9 @@
   std::vector<VmBeat> Beats;
   for (const auto &[Name, Each] : m_Peers)
     if (isAlive(Each, Now))
-      Beats.push_back(
-          {.m_Key = vmKey(Each.m_Record), .m_Beat = Each.m_Record.m_Beat});
+      Beats.push_back({.m_Key = vmKey(Each.m_Record),
+                       .m_Beat = Each.m_Record.m_Beat,
+                       .m_LagMs = Each.m_Record.m_LagMs});
   std::shuffle(Beats.begin(), Beats.end(), m_Random);
   const std::size_t Taken =
       std::min(News.m_Records.size() * m_Options.m_BeatsPerRecord,
@@ -122,6 +169,8 @@
       Found.push_back(Record.m_Vm);
   for (const VmBeat &Beat : News.m_Beats)
     takeBeat(Beat, Now);
+  for (const StateHolder &Holder : News.m_Holders)
+    takeHolder(Holder);
   return Found;
 }
 
@@ -138,7 +187,9 @@
   if (!IsNew && !IsRestart && !IsLater)
     return false;
   Peer &Entry = m_Peers[Record.m_Vm];
-  if (Entry.m_Record.m_Phase != Record.m_Phase || IsNew || IsRestart)
+  if (Entry.m_Record.m_Phase != Record.m_Phase ||
+      Entry.m_Record.m_ReachesStore != Record.m_ReachesStore || IsNew ||
+      IsRestart)
     Entry.m_TimesSent = 0;
   Entry.m_Record = Record;
   Entry.m_HeardAt = Now;
@@ -156,6 +207,7 @@
       Beat.m_Beat <= Entry.m_Record.m_Beat)
     return;
   Entry.m_Record.m_Beat = Beat.m_Beat;
+  Entry.m_Record.m_LagMs = Beat.m_LagMs;
   Entry.m_HeardAt = Now;
   m_HeardAnyAt = Now;
 }
@@ -202,6 +254,21 @@
   return Out;
 }
 
+std::vector<VmName> FleetView::storeReaders(TimePoint Now) const {
+  std::vector<VmName> Able;
+  std::vector<VmName> All{m_Self.m_Vm};
+  if (m_Self.m_ReachesStore)
+    Able.push_back(m_Self.m_Vm);
+  for (const auto &[Name, Each] : m_Peers) {
+    if (!isAlive(Each, Now))
+      continue;
+    All.push_back(Name);
+    if (Each.m_Record.m_ReachesStore)
+      Able.push_back(Name);
+  }
+  return Able.empty() ? All : Able;
+}
+
 std::vector<VmRecord> FleetView::alivePeers(TimePoint Now) const {
   std::vector<VmRecord> Out;
   for (const auto &[Name, Each] : m_Peers)
@@ -210,6 +277,13 @@
   return Out;
 }
 
+std::size_t FleetView::countAlive(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
+        return isAlive(Each.second, Now);
+      }));
+}
+
 std::vector<VmChange> FleetView::takeChanges(TimePoint Now) {
   std::vector<VmChange> Changed;
   for (auto &[Name, Each] : m_Peers) {
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -11,10 +11,12 @@
  */
 
 #include "state/Ids.h"
+#include "state/StateVersion.h"
 #include "state/Time.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -40,6 +42,9 @@
   std::string m_GossipAddress; ///< "IP:port" for gossip.
   std::string m_StateAddress;  ///< "IP:port" for copies of the state.
   std::uint64_t m_ConfigVersion = 0;
+  std::uint32_t m_CapacityPermille = 0; ///< Of a processor core.
+  std::uint32_t m_LagMs = 0;  ///< How late its event loop runs, on average.
+  bool m_ReachesStore = true; ///< The platform's store answers it.
 
   bool operator==(const VmRecord &) const = default;
 };
@@ -48,15 +53,26 @@
 struct VmBeat {
   std::uint32_t m_Key = 0; ///< vmKey() of the VM's process.
   std::uint64_t m_Beat = 0;
+  std::uint32_t m_LagMs = 0;
 
   bool operator==(const VmBeat &) const = default;
 };
 
+/** A VM that has a recent copy of the platform's state. */
+struct StateHolder {
+  std::string m_Address; ///< Where it gives the copy, "IP:port".
+  StateVersion m_Version;
+
+  bool operator==(const StateHolder &) const = default;
+};
+
 /** What one message tells: whole records of VMs that others may not know
- *  yet, and the counters of as many others as fit a datagram. */
+ *  yet, the counters of as many others as fit a datagram, and who has the
+ *  latest state. */
 struct GossipNews {
   std::vector<VmRecord> m_Records;
   std::vector<VmBeat> m_Beats;
+  std::vector<StateHolder> m_Holders;
 
   bool operator==(const GossipNews &) const = default;
 };
@@ -80,14 +96,15 @@
   /** A VM that hears nobody any more is most likely cut off itself: it names
    *  the others for so long before it names itself alone. */
   Duration m_AloneAfter = milliseconds(5000);
+  std::size_t m_Holders = 3; ///< Of the latest state that are passed on.
   /** A VM lost for so long no longer counts for shares of common limits. */
   Duration m_ForgetAfter = seconds(30);
   std::size_t m_Fanout = 3; ///< Peers that get each round's message.
   /** Records beside the sender's own, and counters, that keep a message in
    *  one datagram; each record takes the room of some counters. */
   std::size_t m_RecordsPerMessage = 5;
-  std::size_t m_KnownRecordsPerMessage = 3; ///< Of those that most know.
-  std::size_t m_BeatsPerMessage = 120;
+  std::size_t m_KnownRecordsPerMessage = 1; ///< Of those that most know.
+  std::size_t m_BeatsPerMessage = 112;
   std::size_t m_BeatsPerRecord = 11;
   /** A record is passed on so often before it counts as known to all. */
   std::uint32_t m_RecordRepeats = 3;
@@ -119,6 +136,14 @@
   void addSeed(const std::string &GossipAddress);
   /** Sets what this VM says of itself. */
   void setSelf(VmPhase Phase, std::uint64_t ConfigVersion);
+  /** Sets how recent this VM's own copy of the state is. */
+  void setState(const StateVersion &Version, bool ReachesStore);
+  /** A VM that has news for this one's copy; none if nobody is known to. */
+  std::optional<StateHolder> newsHolder();
+  /** \p Address did not give its copy. */
+  void forgetHolder(const std::string &Address);
+  /** Sets how late this VM's event loop runs. */
+  void setLag(milliseconds Lag);
   /** A message about this VM alone to all known VMs. */
   GossipMessage announce(TimePoint Now);
 
@@ -126,8 +151,13 @@
   std::vector<VmRecord> serving(TimePoint Now) const;
   /** VMs that may take part in common limits, this one included. */
   std::vector<VmName> sharers(TimePoint Now) const;
+  /** VMs that run and reach the platform's store, this one included; all
+   *  that run if none reaches it. */
+  std::vector<VmName> storeReaders(TimePoint Now) const;
   /** VMs whose counters rise, this one left out. */
   std::vector<VmRecord> alivePeers(TimePoint Now) const;
+  /** How many other VMs' counters rise. */
+  std::size_t countAlive(TimePoint Now) const;
   /** VMs that began or ceased to be handed out since the last call. */
   std::vector<VmChange> takeChanges(TimePoint Now);
   const VmRecord &self() const { return m_Self; }
@@ -142,6 +172,7 @@
 
   bool takeRecord(const VmRecord &Record, TimePoint Now);
   void takeBeat(const VmBeat &Beat, TimePoint Now);
+  void takeHolder(const StateHolder &Holder);
   void addRecords(GossipNews &News, TimePoint Now);
   void addBeats(GossipNews &News, TimePoint Now);
   Duration lostAfter() const;
@@ -157,6 +188,8 @@
   std::map<VmName, Peer> m_Peers;
   std::map<std::uint32_t, VmName> m_ByKey;
   TimePoint m_HeardAnyAt;
+  StateVersion m_State;               ///< Of this VM's own copy.
+  std::vector<StateHolder> m_Holders; ///< The latest first.
 };
 
 } // namespace figturn
--- a/src/node/GossipSocket.cpp
+++ b/src/node/GossipSocket.cpp
@@ -8,16 +8,11 @@
 
 namespace figturn {
 
-GossipSocket::GossipSocket(FleetView &Fleet, std::function<void()> OnChange,
-                           QObject *Parent)
-    : QObject(Parent), m_Fleet(Fleet), m_OnChange(std::move(OnChange)),
-      m_Socket(this), m_Timer(this) {
+GossipSocket::GossipSocket(FleetView &Fleet, QObject *Parent)
+    : QObject(Parent), m_Fleet(Fleet), m_Socket(this), m_Timer(this) {
   connect(&m_Socket, &QUdpSocket::readyRead, this, [this] { receive(); });
   m_Timer.setSingleShot(true);
-  connect(&m_Timer, &QTimer::timeout, this, [this] {
-    beginRound();
-    m_OnChange();
-  });
+  connect(&m_Timer, &QTimer::timeout, this, [this] { beginRound(); });
 }
 
 std::error_code GossipSocket::open(const std::string &Address) {
@@ -55,7 +50,6 @@
             {Bytes.constData(), static_cast<std::size_t>(Bytes.size())}))
       m_Fleet.receive(*News, Clock::now());
   }
-  m_OnChange();
 }
 
 } // namespace figturn
--- a/src/node/GossipSocket.h
+++ b/src/node/GossipSocket.h
@@ -9,7 +9,6 @@
 #include <QTimer>
 #include <QUdpSocket>
 
-#include <functional>
 #include <system_error>
 
 namespace figturn {
@@ -17,9 +16,7 @@
 /** Gossip of one VM; lives on one worker. */
 class GossipSocket : public QObject {
 public:
-  /** \p OnChange runs after each message and round. */
-  GossipSocket(FleetView &Fleet, std::function<void()> OnChange,
-               QObject *Parent = nullptr);
+  explicit GossipSocket(FleetView &Fleet, QObject *Parent = nullptr);
 
   std::error_code open(const std::string &Address);
   /** Tells all known VMs at once what this VM says of itself. */
@@ -31,7 +28,6 @@
   void receive();
 
   FleetView &m_Fleet;
-  std::function<void()> m_OnChange;
   QUdpSocket m_Socket;
   QTimer m_Timer;
 };
--- a/src/node/PlatformLink.h
+++ b/src/node/PlatformLink.h
@@ -8,6 +8,7 @@
 
 #include "state/Ids.h"
 #include "state/RoutingConfig.h"
+#include "state/StateVersion.h"
 #include "state/TargetEntry.h"
 
 #include <cstdint>
@@ -50,14 +51,22 @@
   virtual ~PlatformLink() = default;
   virtual void start(PlatformListener &Listener) = 0;
   virtual void stop() = 0;
-  /** Another VM has the configuration \p Version in force. */
-  virtual void hintNewerConfig(std::uint64_t Version, TimePoint Now) = 0;
+  /** Whether to follow the platform by watches, or to rely on other VMs for
+   *  what changes. */
+  virtual void setWatching(bool Watches) = 0;
+  virtual bool isWatching() const = 0;
+  /** Whether the platform answered the latest calls. */
+  virtual bool isReachable() const = 0;
   /** Asks for the registered VMs again: none is heard. */
   virtual void refreshVms() = 0;
   /** Whether configuration and registry follow the platform right now. */
   virtual bool isCurrent() const = 0;
-  /** All that was read, for another VM that can't reach the platform. */
-  virtual std::string exportState() const = 0;
+  /** How recent the state read or taken is. */
+  virtual StateVersion stateVersion() const = 0;
+  /** The path and query under which another VM gives what is new here. */
+  virtual std::string stateQuery() const = 0;
+  /** What is new for the VM that asked with \p Query of stateQuery(). */
+  virtual std::string exportState(const std::string &Query) const = 0;
   /** Takes another VM's copy as far as it is newer than what is known. */
   virtual void importState(const std::string &State) = 0;
   virtual const PlatformCounters &counters() const = 0;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -1,5 +1,6 @@
 #include "node/RoutedNode.h"
 
+#include "coordination/WatcherElection.h"
 #include "protocol/JsonConvert.h"
 #include "protocol/SettingsCodec.h"
 #include "state/Event.h"
@@ -19,13 +20,19 @@
 /** Housekeeping: held targets, drains, shares, pauses of the process. */
 constexpr milliseconds TickInterval{200};
 
+/** Ticks over which the loop's lag is averaged: two seconds, as long as
+ *  callers keep the directory's answer. */
+constexpr int LagSamples = 10;
+
 /** A tick this late shows that the process was paused or starved. */
 constexpr milliseconds PauseNotice{1000};
 
-/** A VM without a configuration of its own asks a peer for a copy after the
- *  platform had this much time to answer. */
-constexpr milliseconds CopyAfter{600};
-constexpr milliseconds CopyInterval{1000};
+/** A VM that watches the platform itself asks another one for a copy once it
+ *  is behind for so long: its own watch may have gone silent. */
+constexpr milliseconds CopyPatience{700};
+
+/** Between copies, so that a storm of changes costs few of them. */
+constexpr milliseconds CopyInterval{300};
 constexpr milliseconds CopyTimeout{800};
 
 /** A VM that hears nobody asks the platform for the others this often. */
@@ -53,7 +60,9 @@
           .m_DataCentre = Settings.m_DataCentre,
           .m_CallerAddress = Settings.m_CallerAddress,
           .m_GossipAddress = Settings.m_GossipAddress,
-          .m_StateAddress = Settings.m_ControlAddress};
+          .m_StateAddress = Settings.m_ControlAddress,
+          .m_CapacityPermille = static_cast<std::uint32_t>(
+              1000 * Settings.m_CpuShare * Settings.m_Cores)};
 }
 
 DrainOptions drainOptions(const RoutedSettings &Settings) {
@@ -78,7 +87,7 @@
       m_Fleet(makeSelf(Settings), seedGossipAddresses(Settings), {}, Seed),
       m_World(Settings, m_Platform.m_Headers, m_Fleet, Seed),
       m_Door(m_World, [this] { return m_Platform.m_Link->isCurrent(); }),
-      m_Gossip(m_Fleet, [this] { onFleetChange(); }),
+      m_Gossip(m_Fleet), m_DirectoryPolicy({}, Seed),
       m_Drain(drainOptions(Settings)) {
   QObject::connect(&m_Tick, &QTimer::timeout, &m_Tick, [this] { onTick(); });
 }
@@ -234,49 +243,49 @@
   }
   for (const VmChange &Each : m_Fleet.takeChanges(Now))
     logEvent(Event::VmLivenessChanged, "vm={} serves={} others_alive={}",
-             Each.m_Vm, Each.m_Serves, m_Fleet.alivePeers(Now).size());
+             Each.m_Vm, Each.m_Serves, m_Fleet.countAlive(Now));
   if (const std::size_t Sharers = m_Fleet.sharers(Now).size();
       std::exchange(m_SharerCount, Sharers) != Sharers)
     m_World.updateShares(Now);
-  const auto Peers = m_Fleet.alivePeers(Now);
-  std::uint64_t Newest = 0;
-  for (const VmRecord &Peer : Peers)
-    Newest = std::max(Newest, Peer.m_ConfigVersion);
-  m_Platform.m_Link->hintNewerConfig(Newest, Now);
+  PlatformLink &Link = *m_Platform.m_Link;
+  Link.setWatching(isWatcher(m_Settings.m_Vm, m_Fleet.storeReaders(Now)));
+  m_Fleet.setState(Link.stateVersion(), Link.isReachable());
   copyStateFromPeer(Now);
-  if (Peers.empty() && Now >= m_NextVmRefreshAt) {
+  if (m_Fleet.countAlive(Now) == 0 && Now >= m_NextVmRefreshAt) {
     m_NextVmRefreshAt = Now + VmRefreshInterval;
     m_Platform.m_Link->refreshVms();
   }
 }
 
 void RoutedNode::copyStateFromPeer(TimePoint Now) {
-  if (m_CopyUnderWay || Now < m_NextCopyAt || Now - m_StartedAt < CopyAfter ||
-      m_Platform.m_Link->isCurrent())
+  const auto Holder = m_Fleet.newsHolder();
+  if (!Holder) {
+    m_NewsSince.reset();
     return;
-  const std::uint64_t Version = m_Fleet.self().m_ConfigVersion;
-  const VmRecord *Best = nullptr;
-  const auto Peers = m_Fleet.alivePeers(Now);
-  for (const VmRecord &Peer : Peers)
-    if (Peer.m_ConfigVersion > 0 && Peer.m_ConfigVersion >= Version &&
-        (!Best || Peer.m_ConfigVersion > Best->m_ConfigVersion))
-      Best = &Peer;
-  if (!Best || (m_HasTargets && Best->m_ConfigVersion == Version))
+  }
+  if (!m_NewsSince)
+    m_NewsSince = Now;
+  // A watcher hears of most changes by itself a moment later.
+  PlatformLink &Link = *m_Platform.m_Link;
+  const bool HearsByItself = Link.isWatching() && Link.isCurrent();
+  if (m_Copies.isBusy() || Now < m_NextCopyAt ||
+      (HearsByItself && Now - *m_NewsSince < CopyPatience))
     return;
   m_NextCopyAt = Now + CopyInterval;
-  m_CopyUnderWay = true;
-  if (!m_Copies)
-    m_Copies = std::make_unique<HttpFetcher>();
-  logEvent(Event::StateCopyAsked, "from={} their_config={} own_config={}",
-           Best->m_Vm, Best->m_ConfigVersion, Version);
-  m_Copies->fetch(
-      {.m_Url = fmt::format("http://{}{}", Best->m_StateAddress, StatePath),
-       .m_Timeout = CopyTimeout},
-      [this](const FetchResult &Result) {
-        m_CopyUnderWay = false;
-        if (!Result.m_Error && Result.m_Status == 200)
-          m_Platform.m_Link->importState(Result.m_Body);
-      });
+  logEvent(Event::StateCopyAsked, "from={} config={} targets={} watching={}",
+           Holder->m_Address, Holder->m_Version.m_Config,
+           Holder->m_Version.m_Targets, Link.isWatching());
+  m_Copies.fetch(Holder->m_Address,
+                 fmt::format("{}?{}", StatePath, Link.stateQuery()),
+                 CopyTimeout,
+                 [this, Address = Holder->m_Address](const std::string *Body) {
+                   if (!Body) {
+                     m_Fleet.forgetHolder(Address);
+                     return;
+                   }
+                   m_Platform.m_Link->importState(*Body);
+                   onFleetChange();
+                 });
 }
 
 // Time.
@@ -286,10 +295,13 @@
   const Duration Late = Now - m_LastTickAt - TickInterval;
   m_LastTickAt = Now;
   m_LargestLag = std::max(m_LargestLag, Late);
+  m_MeanLag += (std::max(Late, Duration(0)) - m_MeanLag) / LagSamples;
+  m_Fleet.setLag(std::chrono::duration_cast<milliseconds>(m_MeanLag));
   if (Late > PauseNotice)
     logEvent(Event::NodePaused, "vm={} for_ms={}", m_Settings.m_Vm,
              std::chrono::duration_cast<milliseconds>(Late).count());
   logSink().flush();
+  onFleetChange();
   applyChange(m_World.registry().expire(Now), "hold-ended");
   if (m_Drain.step() != DrainStep::None)
     advanceDrain();
@@ -328,15 +340,13 @@
 // The VM's own addresses.
 
 HttpResponse RoutedNode::serveDirectory(const HttpRequest &Request) {
-  std::vector<std::string> Addresses;
-  for (const VmRecord &Vm : m_Fleet.serving(Clock::now()))
-    Addresses.push_back(Vm.m_CallerAddress);
-  return m_Platform.m_Directory(Request, Addresses);
+  return m_Platform.m_Directory(
+      Request, m_DirectoryPolicy.choose(m_Fleet.serving(Clock::now())));
 }
 
 HttpResponse RoutedNode::serveControl(const HttpRequest &Request) {
   if (Request.m_Path == StatePath)
-    return {.m_Body = m_Platform.m_Link->exportState()};
+    return {.m_Body = m_Platform.m_Link->exportState(Request.m_Query)};
   if (Request.m_Path == StatusPath)
     return {.m_Body = statusText()};
   if (Request.m_Path == MetricsPath)
@@ -387,7 +397,7 @@
   Add("platform_calls_total{kind=\"watch\"}", Calls.m_Watches);
   Add("platform_calls_total{kind=\"write\"}", Calls.m_Writes);
   Add("platform_failures_total", Calls.m_Failures);
-  Add("vms_alive", m_Fleet.alivePeers(Now).size() + 1);
+  Add("vms_alive", m_Fleet.countAlive(Now) + 1);
   Add("targets", m_World.registry().size());
   Add("target_connections", m_World.links().connections());
   Add("target_connections_opened_total", m_World.links().opened());
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -8,6 +8,7 @@
  * without a change of threads.
  */
 
+#include "coordination/DirectoryPolicy.h"
 #include "coordination/DrainSequence.h"
 #include "coordination/FleetView.h"
 #include "node/GossipSocket.h"
@@ -15,12 +16,13 @@
 #include "node/RoutedDoor.h"
 #include "node/RoutedWorld.h"
 #include "protocol/RoutedSettings.h"
-#include "transport/HttpFetcher.h"
 #include "transport/HttpServer.h"
+#include "transport/PeerFetcher.h"
 #include "transport/WorkerPool.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -82,21 +84,23 @@
   RoutedWorld m_World;
   RoutedDoor m_Door;
   GossipSocket m_Gossip;
+  DirectoryPolicy m_DirectoryPolicy;
   ServerPtr m_Callers;
   ServerPtr m_Readiness;
   ServerPtr m_Directory;
   ServerPtr m_Control;
   ServerPtr m_Metrics;
-  std::unique_ptr<HttpFetcher> m_Copies;
+  PeerFetcher m_Copies;
   bool m_HasTargets = false;
   bool m_WasReady = false;
-  bool m_CopyUnderWay = false;
+  std::optional<TimePoint> m_NewsSince; ///< Another VM knows more.
   TimePoint m_StartedAt;
   TimePoint m_NextCopyAt;
   TimePoint m_NextVmRefreshAt;
   TimePoint m_LastTickAt;
   std::size_t m_SharerCount = 0;
   Duration m_LargestLag{};
+  Duration m_MeanLag{};
   DrainSequence m_Drain;
   QTimer m_Tick;
   std::function<void()> m_OnStopped;
--- a/src/protocol/Gossip.capnp
+++ b/src/protocol/Gossip.capnp
@@ -16,14 +16,26 @@
   gossipAddress @6 :Text;
   stateAddress @7 :Text;
   configVersion @8 :UInt64;
+  capacityPermille @9 :UInt32;
+  lagMs @10 :UInt32;
+  storeUnreachable @11 :Bool;
 }
 
 struct GossipBeat {
   key @0 :UInt32;
   beat @1 :UInt64;
+  lagMs @2 :UInt32;
+}
+
+struct GossipHolder {
+  address @0 :Text;
+  config @1 :UInt64;
+  targets @2 :UInt64;
+  evacuations @3 :UInt64;
 }
 
 struct Gossip {
   vms @0 :List(GossipVm);
   beats @1 :List(GossipBeat);
+  holders @2 :List(GossipHolder);
 }
--- a/src/protocol/GossipCodec.cpp
+++ b/src/protocol/GossipCodec.cpp
@@ -36,6 +36,9 @@
   To.setGossipAddress(From.m_GossipAddress);
   To.setStateAddress(From.m_StateAddress);
   To.setConfigVersion(From.m_ConfigVersion);
+  To.setCapacityPermille(From.m_CapacityPermille);
+  To.setLagMs(From.m_LagMs);
+  To.setStoreUnreachable(!From.m_ReachesStore);
 }
 
 VmRecord decodeVm(rpc::GossipVm::Reader From) {
@@ -47,7 +50,10 @@
           .m_CallerAddress = text(From.getCallerAddress()),
           .m_GossipAddress = text(From.getGossipAddress()),
           .m_StateAddress = text(From.getStateAddress()),
-          .m_ConfigVersion = From.getConfigVersion()};
+          .m_ConfigVersion = From.getConfigVersion(),
+          .m_CapacityPermille = From.getCapacityPermille(),
+          .m_LagMs = From.getLagMs(),
+          .m_ReachesStore = !From.getStoreUnreachable()};
 }
 
 } // namespace
@@ -62,6 +68,15 @@
   for (unsigned I = 0; I < Beats.size(); ++I) {
     Beats[I].setKey(News.m_Beats[I].m_Key);
     Beats[I].setBeat(News.m_Beats[I].m_Beat);
+    Beats[I].setLagMs(News.m_Beats[I].m_LagMs);
+  }
+  auto Holders = Root.initHolders(static_cast<unsigned>(News.m_Holders.size()));
+  for (unsigned I = 0; I < Holders.size(); ++I) {
+    const StateHolder &From = News.m_Holders[I];
+    Holders[I].setAddress(From.m_Address);
+    Holders[I].setConfig(From.m_Version.m_Config);
+    Holders[I].setTargets(From.m_Version.m_Targets);
+    Holders[I].setEvacuations(From.m_Version.m_Evacuations);
   }
   kj::VectorOutputStream Out;
   capnp::writePackedMessage(Out, Message);
@@ -81,8 +96,15 @@
     for (const auto Vm : Root.getVms())
       News.m_Records.push_back(decodeVm(Vm));
     for (const auto Beat : Root.getBeats())
-      News.m_Beats.push_back(
-          {.m_Key = Beat.getKey(), .m_Beat = Beat.getBeat()});
+      News.m_Beats.push_back({.m_Key = Beat.getKey(),
+                              .m_Beat = Beat.getBeat(),
+                              .m_LagMs = Beat.getLagMs()});
+    for (const auto Holder : Root.getHolders())
+      News.m_Holders.push_back(
+          {.m_Address = text(Holder.getAddress()),
+           .m_Version = {.m_Config = Holder.getConfig(),
+                         .m_Targets = Holder.getTargets(),
+                         .m_Evacuations = Holder.getEvacuations()}});
   });
   if (Failure != nullptr || News.m_Records.empty())
     return std::nullopt;
--- a/src/protocol/RoutedSettings.cpp
+++ b/src/protocol/RoutedSettings.cpp
@@ -12,6 +12,7 @@
 constexpr double MostSeconds = 3600;
 constexpr double MostRequests = 1e6;
 constexpr double MostDescriptors = 1e6;
+constexpr double MostCores = 1024;
 constexpr const char *RoutedDoor = "routed";
 
 using Rule = MemberRule<RoutedSettings>;
@@ -92,6 +93,14 @@
     {numberRule("directoryTtlSeconds", MostSeconds,
                 "Longest time that callers keep the list of VMs."),
      &RoutedSettings::m_DirectoryTtlSeconds},
+    {numberRule("cpuShare", 1, "Part of each core that the VM may use."),
+     &RoutedSettings::m_CpuShare},
+    {{.m_Key = "cores",
+      .m_Kind = FieldKind::Count,
+      .m_Least = 1,
+      .m_Most = MostCores,
+      .m_Meaning = "Cores of the VM."},
+     &RoutedSettings::m_Cores},
     {{.m_Key = "descriptors",
       .m_Kind = FieldKind::Count,
       .m_Least = 64,
--- a/src/protocol/RoutedSettings.h
+++ b/src/protocol/RoutedSettings.h
@@ -38,7 +38,9 @@
   double m_RetrySlack = 0;     ///< Extra calls beyond that, in a window.
   double m_ColdMultiplier = 1; ///< Of a service's cold rate.
   double m_ColdSlack = 0;      ///< Cold requests a second beyond that.
-  double m_DirectoryTtlSeconds = 2;   ///< Longest time to keep an answer.
+  double m_DirectoryTtlSeconds = 2; ///< Longest time to keep an answer.
+  double m_CpuShare = 1;            ///< Part of each core that it may use.
+  std::uint32_t m_Cores = 1;
   std::uint32_t m_Descriptors = 1024; ///< The process's limit.
 };
 
--- /dev/null
+++ b/src/state/StateVersion.h
@@ -0,0 +1,28 @@
+#ifndef FIGTURN_STATE_STATEVERSION_H
+#define FIGTURN_STATE_STATEVERSION_H
+
+/** How recent a VM's copy of the platform's state is. */
+
+#include <cstdint>
+
+namespace figturn {
+
+/** Revisions of the platform's store up to which each part is known. */
+struct StateVersion {
+  std::uint64_t m_Config = 0;
+  std::uint64_t m_Targets = 0;
+  std::uint64_t m_Evacuations = 0;
+
+  bool operator==(const StateVersion &) const = default;
+
+  /** Whether any part of this is later than that of \p Other. */
+  bool hasNewsFor(const StateVersion &Other) const {
+    return m_Config > Other.m_Config || m_Targets > Other.m_Targets ||
+           m_Evacuations > Other.m_Evacuations;
+  }
+  std::uint64_t sum() const { return m_Config + m_Targets + m_Evacuations; }
+};
+
+} // namespace figturn
+
+#endif // FIGTURN_STATE_STATEVERSION_H
--- /dev/null
+++ b/src/transport/PeerFetcher.cpp
@@ -0,0 +1,55 @@
+#include "transport/PeerFetcher.h"
+
+#include "protocol/SettingsCodec.h"
+#include "state/Errc.h"
+#include "transport/HttpCodec.h"
+
+#include <utility>
+
+namespace figturn {
+
+namespace {
+
+/** A peer that doesn't take a connection within this is away. */
+constexpr milliseconds ConnectTimeout{300};
+
+/** Connections to peers are not kept for long; the next one is another. */
+constexpr milliseconds IdleTimeout{1000};
+
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+bool PeerFetcher::fetch(const std::string &Address, const std::string &Target,
+                        milliseconds Timeout, Handler OnResult) {
+  const auto Where = parseSocketAddress(Address);
+  if (m_IsBusy || !Where)
+    return false;
+  m_IsBusy = true;
+  if (std::exchange(m_Address, Address) != Address || !m_Pool)
+    m_Pool = std::make_unique<TargetPool>(
+        TargetPoolOptions{.m_Target = TargetName("peer"),
+                          .m_Host = Where->m_Host,
+                          .m_Port = Where->m_Port,
+                          .m_MaxConnections = 1,
+                          .m_ConnectTimeout = ConnectTimeout,
+                          .m_IdleTimeout = IdleTimeout,
+                          .m_SpeaksOwnProtocol = false},
+        [](const TargetObservation &) {});
+  m_Pool->send(
+      {.m_Call = CallId(m_NextCall++),
+       .m_Deadline = Clock::now() + Timeout,
+       .m_SingleRun = true,
+       .m_WriteRequest = [Bytes = writeRequest("GET", Target, Address, {})](
+                             TimePoint) { return Bytes; }},
+      [this, OnResult = std::move(OnResult)](const TargetResult &Result) {
+        if (Result.m_Error == Errc::Cancelled)
+          return; // The fetcher is being destroyed.
+        m_IsBusy = false;
+        const bool IsWhole = !Result.m_Error && Result.m_Status == StatusOk;
+        OnResult(IsWhole ? &Result.m_Body : nullptr);
+      });
+  return true;
+}
+
+} // namespace figturn
--- /dev/null
+++ b/test/correctness/DirectoryPolicyTest.cpp
@@ -0,0 +1,88 @@
+/** Which VMs callers are sent to. */
+
+#include "coordination/DirectoryPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+using namespace figturn;
+
+namespace {
+
+struct Fixture {
+  std::vector<VmRecord> m_Vms;
+  DirectoryPolicy m_Policy{DirectoryOptions{}, 1};
+
+  void add(std::size_t Count, std::uint32_t Capacity, const std::string &Name) {
+    for (std::size_t I = 0; I < Count; ++I)
+      m_Vms.push_back(
+          {.m_Vm = VmName(Name + std::to_string(I)),
+           .m_DataCentre = DataCentreName("dc-" + std::to_string(I % 3)),
+           .m_CallerAddress = Name + std::to_string(I),
+           .m_CapacityPermille = Capacity});
+  }
+  /** How often each VM is named in a thousand answers. */
+  std::map<std::string, int> count() {
+    std::map<std::string, int> Counts;
+    for (int I = 0; I < 1000; ++I)
+      for (const std::string &Each : m_Policy.choose(m_Vms))
+        ++Counts[Each];
+    return Counts;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DirectoryPolicyTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(Vms_thatAreAlike_areAllNamed) {
+  add(15, 170, "vm");
+  BOOST_TEST(m_Policy.choose(m_Vms).size() == 15U);
+}
+
+BOOST_AUTO_TEST_CASE(Large_vmsThatKeepUp_getAllCallers) {
+  add(6, 500, "large");
+  add(111, 84, "small");
+  const auto Named = m_Policy.choose(m_Vms);
+  BOOST_TEST(Named.size() == 6U);
+  for (const std::string &Each : Named)
+    BOOST_TEST(Each.starts_with("large"));
+}
+
+BOOST_AUTO_TEST_CASE(Large_vmsThatAreStrained_shareByCapacity) {
+  add(6, 500, "large");
+  add(40, 84, "small");
+  for (VmRecord &Each : m_Vms)
+    Each.m_LagMs = 30;
+  const auto Counts = count();
+  BOOST_TEST(Counts.at("large0") == 1000);
+  BOOST_TEST(Counts.at("small0") > 1000 * 84 / 500 / 2);
+  BOOST_TEST(Counts.at("small0") < 1000 * 84 / 500 * 2);
+}
+
+BOOST_AUTO_TEST_CASE(Large_vmsThatAreTooFewOrInOnePlace_areNotEnough) {
+  add(3, 500, "large");
+  add(30, 84, "small");
+  BOOST_TEST(count().contains("small0"));
+  m_Vms.clear();
+  add(6, 500, "large");
+  for (VmRecord &Each : m_Vms)
+    Each.m_DataCentre = DataCentreName("dc-0");
+  add(30, 84, "small");
+  BOOST_TEST(count().contains("small1"));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_holdsNoMoreThanCallersTakeAndLeavesNobodyOut) {
+  add(100, 170, "vm");
+  BOOST_TEST(m_Policy.choose(m_Vms).size() == 64U);
+  BOOST_TEST(count().size() == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(Vms_ofUnknownCapacity_areNamedAllTheSame) {
+  add(5, 0, "vm");
+  BOOST_TEST(m_Policy.choose(m_Vms).size() == 5U);
+  BOOST_TEST(m_Policy.choose({}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -18,7 +18,8 @@
           .m_StartedMs = StartedMs,
           .m_Phase = VmPhase::Serving,
           .m_CallerAddress = "c-" + Name,
-          .m_GossipAddress = "g-" + Name};
+          .m_GossipAddress = "g-" + Name,
+          .m_StateAddress = "s-" + Name};
 }
 
 /** VMs whose messages arrive at once, unless they are cut off or stopped. */
@@ -165,6 +166,32 @@
     BOOST_TEST(Each->serving(m_Now).size() == 15U);
 }
 
+BOOST_AUTO_TEST_CASE(News_ofTheState_isHeardOfEverywhereWithinASecond) {
+  setFleet(126);
+  runRounds(60);
+  m_Vms[9]->setState({.m_Config = 40, .m_Targets = 41}, true);
+  runRounds(5); // 2 s of the 5 within which changes are in force
+  std::size_t Heard = 0;
+  for (std::size_t I = 0; I < m_Vms.size(); ++I)
+    Heard += m_Vms[I]->newsHolder().has_value() ? 1 : 0;
+  BOOST_TEST(Heard == 125U);
+  BOOST_TEST(!m_Vms[9]->newsHolder());
+  m_Vms[3]->setState({.m_Config = 40, .m_Targets = 41}, true);
+  BOOST_TEST(!m_Vms[3]->newsHolder());
+}
+
+BOOST_AUTO_TEST_CASE(Vms_thatReachTheStore_areKnownAsThose) {
+  setFleet(5);
+  runRounds(10);
+  m_Vms[1]->setState({}, false);
+  runRounds(10);
+  BOOST_TEST(m_Vms[0]->storeReaders(m_Now).size() == 4U);
+  for (const auto &Each : m_Vms)
+    Each->setState({}, false);
+  runRounds(10);
+  BOOST_TEST(m_Vms[0]->storeReaders(m_Now).size() == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(Vm_thatWasLostAMomentAgo_stillCountsForCommonLimits) {
   setFleet(5);
   runRounds(10);
--- a/test/correctness/RoutedPolicyTest.cpp
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -2,12 +2,14 @@
 
 #include "coordination/HedgeTimer.h"
 #include "coordination/RetryAdvice.h"
+#include "coordination/WatcherElection.h"
 #include "coordination/WeightedRotation.h"
 #include "state/Errc.h"
 #include "support/RoutedTargets.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace figturn;
 using namespace figturn::test;
@@ -66,6 +68,35 @@
   BOOST_TEST(!m_Advice.pause(Errc::NoTarget, Duration(0)));
 }
 
+BOOST_AUTO_TEST_CASE(Watchers_ofALargeFleet_areTwelveAndReplacedOneByOne) {
+  std::vector<VmName> Fleet;
+  for (int I = 0; I < 117; ++I)
+    Fleet.emplace_back("vm-" + std::to_string(I));
+  const auto Watchers = [&] {
+    std::set<VmName> Out;
+    for (const VmName &Each : Fleet)
+      if (isWatcher(Each, Fleet))
+        Out.insert(Each);
+    return Out;
+  };
+  const std::set<VmName> Before = Watchers();
+  BOOST_TEST(Before.size() == 12U);
+  std::erase(Fleet, *Before.begin());
+  std::set<VmName> After = Watchers();
+  BOOST_TEST(After.size() == 12U);
+  for (const VmName &Each : Before)
+    After.erase(Each);
+  BOOST_TEST(After.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watchers_ofTodaysFleet_areAllVms) {
+  std::vector<VmName> Fleet;
+  for (int I = 0; I < 15; ++I)
+    Fleet.emplace_back("vm-" + std::to_string(I));
+  for (const VmName &Each : Fleet)
+    BOOST_TEST(isWatcher(Each, Fleet));
+}
+
 BOOST_AUTO_TEST_CASE(Rotation_givesEachServiceItsExactShare) {
   const std::array<WeightedService, 3> Services{
       WeightedService{ServiceName("a"), 5},
--- a/test/correctness/StateFeedTest.cpp
+++ b/test/correctness/StateFeedTest.cpp
@@ -156,7 +156,7 @@
 
 BOOST_AUTO_TEST_CASE(Copy_ofAnotherVm_servesWhileTheStoreIsDown) {
   startAndSettle();
-  const std::string Copy = m_Feed->exportState();
+  const std::string Copy = m_Feed->exportState("config=0&targets=0");
   m_Feed.reset();
   m_Store->m_IsDown = true;
   m_Seen = {};
@@ -165,20 +165,65 @@
   BOOST_TEST(m_Seen.m_Versions == std::vector<std::uint64_t>{3});
   BOOST_TEST(m_Seen.m_Listings == std::vector<std::size_t>{1});
   // Neither a copy that says less nor one that is no copy takes any back.
-  m_Feed->importState("{}");
-  m_Feed->importState("not json");
+  for (const char *Less : {"{}", "not json", Copy.c_str()})
+    m_Feed->importState(Less);
   BOOST_TEST(m_Seen.m_Listings.size() == 1U);
+  BOOST_TEST(m_Seen.m_Versions.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(Hint_ofALaterVersion_isCheckedAtTheStore) {
+BOOST_AUTO_TEST_CASE(Copy_forAVmThatIsNearlyCurrent_holdsTheChangesOnly) {
+  for (int I = 2; I <= 40; ++I)
+    m_Store->put("servers", "i-" + std::to_string(I), m_Searcher->entry());
   startAndSettle();
-  m_Store->m_WatchesAreDeaf = true;
-  m_Store->put("config", "main", routedConfig(8));
-  m_Feed->hintNewerConfig(8, Start);
-  BOOST_TEST(m_Store->m_Calls["list config"] == 1);
-  m_Feed->hintNewerConfig(8, Start + seconds(1));
+  const std::string Before = m_Feed->stateQuery();
+  BOOST_TEST(m_Feed->exportState(Before).find("10.0") == std::string::npos);
+  m_Store->put("servers", "i-5", m_Searcher->entry("draining"));
+  m_Store->remove("servers", "i-6");
+  spinUntil([&] { return m_Seen.m_Removed.size() == 1; });
+  const std::string Changes = m_Feed->exportState(Before);
+  BOOST_TEST(Changes.find("\"i-5\"") != std::string::npos);
+  BOOST_TEST(Changes.find("\"i-6\"") != std::string::npos);
+  BOOST_TEST(Changes.find("\"i-7\"") == std::string::npos);
+  BOOST_TEST(Changes.find("routes") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Changes_ofAnotherVm_areTakenOneByOne) {
+  startAndSettle();
+  Recorder Elsewhere;
+  RoutedSettings Settings;
+  Settings.m_Vm = VmName("vm-2");
+  Settings.m_StoreAddress = m_Store->address();
+  Settings.m_GossipAddress = "127.0.0.2:7740";
+  StateFeed Follower(Settings, 2);
+  Follower.start(Elsewhere);
+  spinUntil([&] { return Follower.isCurrent(); });
+  Follower.setWatching(false);
+  const int Watches = m_Store->m_Calls["watch servers"];
+  m_Store->cutConnections();
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  m_Store->put("config", "main", routedConfig(5));
+  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
+  spinUntil([&] {
+    return m_Feed->stateVersion().hasNewsFor(Follower.stateVersion());
+  });
+  Follower.importState(m_Feed->exportState(Follower.stateQuery()));
+  BOOST_TEST(Elsewhere.m_Versions.back() == 5U);
+  BOOST_TEST(!m_Feed->stateVersion().hasNewsFor(Follower.stateVersion()));
+  BOOST_TEST(m_Store->m_Calls["watch servers"] >= Watches);
+  Follower.stop();
+}
+
+BOOST_AUTO_TEST_CASE(Vm_thatLeavesWatchingToOthers_makesNoCalls) {
+  startAndSettle();
+  m_Feed->setWatching(false);
+  m_Store->put("config", "main", routedConfig(5)); // Ends its last watch.
   spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
-  BOOST_TEST(m_Seen.m_Versions.back() == 8U);
+  const int Watches = m_Store->m_Calls["watch config"];
+  m_Store->put("config", "main", routedConfig(6));
+  m_Feed->setWatching(true);
+  spinUntil([&] { return m_Seen.m_Versions.size() == 3; });
+  BOOST_TEST(m_Store->m_Calls["list config"] == 2);
+  spinUntil([&] { return m_Store->m_Calls["watch config"] == Watches + 1; });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/RoutedDoorTest.cpp
+++ b/test/process/RoutedDoorTest.cpp
@@ -223,7 +223,8 @@
 BOOST_AUTO_TEST_CASE(Vm_whoseStoreIsDown_startsFromAnotherVmsCopy) {
   m_Fleet.onThread([&] { m_Fleet.m_Store->m_IsDown = true; });
   const RoutedFleet::Vm &Second = m_Fleet.startVm();
-  BOOST_TEST(Second.m_Process->waitForLine("F0204", "from=vm-1").has_value());
+  BOOST_TEST(
+      Second.m_Process->waitForLine("F0204", "from=127.0.0.1:").has_value());
   const RoutedAnswer Answer =
       RoutedFleet::call(Second.m_Caller, "GET", "/look/x",
                         RoutedFleet::requestHeaders("c-1"), "", Second.m_Host);
