--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -76,22 +76,39 @@
   });
 }
 
+std::vector<std::string> FleetView::pickKnown(TimePoint Now) {
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  const bool IsUniform = m_Peers.size() < m_Options.m_UniformUpTo;
+  for (const auto &[Name, Each] : m_Peers) {
+    if (!isAlive(Each, Now))
+      continue;
+    const bool IsNear = Each.m_Record.m_DataCentre == m_Self.m_DataCentre;
+    (IsUniform || IsNear ? Near : Far).push_back(Each.m_Record.m_GossipAddress);
+  }
+  std::shuffle(Near.begin(), Near.end(), m_Random);
+  std::shuffle(Far.begin(), Far.end(), m_Random);
+  Near.resize(std::min(Near.size(), m_Options.m_Fanout));
+  const bool IsFarRound = m_Random() % m_Options.m_FarRoundInterval == 0;
+  const std::size_t Missing = m_Options.m_Fanout - Near.size();
+  Far.resize(std::min<std::size_t>(Far.size(),
+                                   std::max<std::size_t>(Missing, IsFarRound)));
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
+}
+
 std::vector<std::string> FleetView::pickReceivers(TimePoint Now) {
-  std::vector<std::string> Known;
+  std::vector<std::string> Known = pickKnown(Now);
   std::set<std::string> Unheard = m_Seeds;
   for (const auto &[Name, Each] : m_Peers) {
     Unheard.erase(Each.m_Record.m_GossipAddress);
-    if (isAlive(Each, Now))
-      Known.push_back(Each.m_Record.m_GossipAddress);
-    else if (Now - Each.m_HeardAt < m_Options.m_ForgetAfter)
+    if (!isAlive(Each, Now) && Now - Each.m_HeardAt < m_Options.m_ForgetAfter)
       Unheard.insert(Each.m_Record.m_GossipAddress);
   }
-  std::shuffle(Known.begin(), Known.end(), m_Random);
-  Known.resize(std::min(Known.size(), m_Options.m_Fanout));
   // One address from which nothing is heard each round, so that parts of the
   // fleet that lost one another find together again; more while few are heard.
   const std::size_t Strangers =
-      std::max<std::size_t>(1, m_Options.m_Fanout - Known.size());
+      m_Options.m_Fanout - std::min(Known.size(), m_Options.m_Fanout - 1);
   std::sample(Unheard.begin(), Unheard.end(), std::back_inserter(Known),
               Strangers, m_Random);
   return Known;
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -99,6 +99,11 @@
   std::size_t m_Holders = 3; ///< Of the latest state that are passed on.
   /** A VM lost for so long no longer counts for shares of common limits. */
   Duration m_ForgetAfter = seconds(30);
+  /** Fleets beyond this size gossip within their data centres, and one round
+   *  in so many also goes to another one, since bytes between data centres
+   *  are the dear ones. */
+  std::size_t m_UniformUpTo = 20;
+  std::uint32_t m_FarRoundInterval = 4;
   std::size_t m_Fanout = 3; ///< Peers that get each round's message.
   /** Records beside the sender's own, and counters, that keep a message in
    *  one datagram; each record takes the room of some counters. */
@@ -180,6 +185,7 @@
   bool hearsAnybody(TimePoint Now) const;
   bool isHandedOut(const Peer &Of, TimePoint Now) const;
   std::vector<std::string> pickReceivers(TimePoint Now);
+  std::vector<std::string> pickKnown(TimePoint Now);
 
   VmRecord m_Self;
   std::set<std::string> m_Seeds;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -38,6 +38,9 @@
 /** A VM that hears nobody asks the platform for the others this often. */
 constexpr milliseconds VmRefreshInterval{3000};
 
+/** Gossip by the seeds has so long to find others. */
+constexpr milliseconds FirstVmRefresh{1000};
+
 /** During a planned stop callers hold an address for the directory's lifetime
  *  at least; the VM serves on as before for half of the time until it is
  *  killed, and finishes what it has in the other half. */
@@ -105,6 +108,7 @@
 std::error_code RoutedNode::start() {
   m_StartedAt = Clock::now();
   m_LastTickAt = m_StartedAt;
+  m_NextVmRefreshAt = m_StartedAt + FirstVmRefresh;
   m_Callers =
       makeServer(m_Settings.m_CallerAddress,
                  [this](const HttpExchangePtr &Each) { m_Door.handle(Each); });
--- a/src/node/RoutedRun.cpp
+++ b/src/node/RoutedRun.cpp
@@ -17,6 +17,9 @@
 constexpr double AnswerMarginPart = 0.05;
 constexpr milliseconds AnswerMargin{4};
 
+/** Of the objective, the most that is set aside for a loop that is late. */
+constexpr double LargestLoopPart = 0.25;
+
 /** A call with less time left than this is not worth sending. */
 constexpr milliseconds LeastCallTime{2};
 
@@ -38,14 +41,19 @@
 
 TimePoint RoutedRun::onTimeUntil() const {
   const Duration Objective = route().m_LatencyObjective;
+  // The request waited for this loop before it was read, and the timer that
+  // ends the wait for shards does so again.
+  const Duration Waits = std::min(2 * m_World.timers().lateness(),
+                                  part(Objective, LargestLoopPart));
   return std::min(m_StartedAt + Objective - part(Objective, AnswerMarginPart) -
-                      AnswerMargin,
+                      AnswerMargin - Waits,
                   m_Options.m_End);
 }
 
 void RoutedRun::start(TimePoint Now) {
-  if (isHopeless(Now)) {
-    refuse(Errc::NoTarget, "Too few targets can be reached now.", Now);
+  if (const auto Missing = missingServices(Now); !Missing.empty()) {
+    refuse(Errc::NoTarget, "Too few targets can be reached now.",
+           fmt::format("{}:no-target", fmt::join(Missing, ":no-target,")), Now);
     return;
   }
   HedgeTimer &Hedges = m_World.hedgeTimer(route());
@@ -237,18 +245,23 @@
 
 void RoutedRun::refuse(std::error_code Reason, std::string_view Sentence,
                        TimePoint Now) {
-  // Calls that wait for a connection must not run once this is said.
-  withdrawUnsent();
-  const RunVerdict Verdict = verdict();
-  const auto Pause = Verdict == RunVerdict::NotRun
-                         ? m_World.advice().pause(Reason, m_Options.m_End - Now)
-                         : std::nullopt;
   std::string Lost;
   for (const Lane &Each : m_Lanes)
     if (!Each.m_Race.isWon())
       Lost += fmt::format("{}{}:{}", Lost.empty() ? "" : ",", Each.m_Service,
                           Each.m_Race.isOver() ? Each.m_Race.reason().message()
                                                : "pending");
+  refuse(Reason, Sentence, Lost, Now);
+}
+
+void RoutedRun::refuse(std::error_code Reason, std::string_view Sentence,
+                       const std::string &Lost, TimePoint Now) {
+  // Calls that wait for a connection must not run once this is said.
+  withdrawUnsent();
+  const RunVerdict Verdict = verdict();
+  const auto Pause = Verdict == RunVerdict::NotRun
+                         ? m_World.advice().pause(Reason, m_Options.m_End - Now)
+                         : std::nullopt;
   m_World.metrics().addRefusal(route().m_Name, Reason);
   logEvent(Event::RoutedRequestRefused,
            "id={} route={} verdict={} reason={} ms={:.1f} retry_ms={} lost={}",
@@ -291,8 +304,10 @@
       end(Now);
   }
 
-  bool isHopeless(TimePoint Now) const override {
-    return !m_World.isServable(m_Options.m_Service, Now);
+  std::vector<ServiceName> missingServices(TimePoint Now) const override {
+    if (m_World.isServable(m_Options.m_Service, Now))
+      return {};
+    return {m_Options.m_Service};
   }
 
   void onTime(TimePoint Now) override {
@@ -346,12 +361,15 @@
     onTime(Now);
   }
 
-  bool isHopeless(TimePoint Now) const override {
-    SearchProgress Expected{.m_Shards = route().m_Search->m_Shards.size()};
-    for (const ServiceName &Shard : route().m_Search->m_Shards)
-      Expected.m_Lost += m_World.isServable(Shard, Now) ? 0 : 1;
-    return Expected.m_Shards - Expected.m_Lost <
-           m_Rule.leastShards(Expected.m_Shards);
+  std::vector<ServiceName> missingServices(TimePoint Now) const override {
+    std::vector<ServiceName> Missing;
+    const std::vector<ServiceName> &Shards = route().m_Search->m_Shards;
+    for (const ServiceName &Shard : Shards)
+      if (!m_World.isServable(Shard, Now))
+        Missing.push_back(Shard);
+    if (Shards.size() - Missing.size() >= m_Rule.leastShards(Shards.size()))
+      Missing.clear();
+    return Missing;
   }
 
   void onTime(TimePoint Now) override {
--- a/src/node/RoutedRun.h
+++ b/src/node/RoutedRun.h
@@ -58,12 +58,18 @@
   virtual void onTime(TimePoint Now) = 0;
   /** When onTime() is due next. */
   virtual TimePoint nextTime(TimePoint Now) const = 0;
-  /** Whether it is known that the request can't be served now. */
-  virtual bool isHopeless(TimePoint Now) const = 0;
+  /** The services without a usable target, if the request can't be served
+   *  for lack of them; else none. */
+  virtual std::vector<ServiceName> missingServices(TimePoint Now) const = 0;
 
   void answer(HttpResponse Response, std::size_t Asked, std::size_t Answered,
               TimePoint Now);
-  void refuse(std::error_code Reason, std::string_view Sentence, TimePoint Now);
+  void refuse(std::error_code Reason, std::string_view Sentence,
+              TimePoint Now);
+  /** \p Lost says for the log which services gave no answer, and why. */
+  void refuse(std::error_code Reason, std::string_view Sentence,
+              const std::string &Lost, TimePoint Now);
+  /** When an answer has to be sent to reach its caller on time. */
   TimePoint onTimeUntil() const;
 
   const Route &route() const { return *m_Options.m_Route; }
--- a/src/node/TimerQueue.cpp
+++ b/src/node/TimerQueue.cpp
@@ -21,6 +21,7 @@
 void TimerQueue::runDue() {
   const TimePoint Now = Clock::now();
   while (!m_Entries.empty() && m_Entries.begin()->first <= Now) {
+    m_Lateness.record(Now - m_Entries.begin()->first, Now);
     const Entry Due = std::move(m_Entries.begin()->second);
     m_Entries.erase(m_Entries.begin());
     if (const auto Owner = Due.m_Owner.lock())
@@ -29,6 +30,11 @@
   arm();
 }
 
+Duration TimerQueue::lateness() const {
+  constexpr double Upper = 0.9;
+  return m_Lateness.quantile(Upper).value_or(Duration(0));
+}
+
 void TimerQueue::arm() {
   while (!m_Entries.empty() && m_Entries.begin()->second.m_Owner.expired())
     m_Entries.erase(m_Entries.begin());
--- a/src/node/TimerQueue.h
+++ b/src/node/TimerQueue.h
@@ -1,8 +1,12 @@
 #ifndef FIGTURN_NODE_TIMERQUEUE_H
 #define FIGTURN_NODE_TIMERQUEUE_H
 
-/** Many timers of one worker on a single timer of the event loop. */
+/**
+ * Many timers of one worker on a single timer of the event loop. Measures how
+ * late they fire, which is how long anything waits for this loop.
+ */
 
+#include "coordination/LatencyWindow.h"
 #include "state/Time.h"
 
 #include <QObject>
@@ -24,6 +28,10 @@
   /** Runs \p Run at \p At, unless \p Owner has expired by then. */
   void at(TimePoint At, std::weak_ptr<void> Owner, Task Run);
 
+  /** What nine of ten timers' lateness stays below lately; zero before
+   *  enough of them fired. */
+  Duration lateness() const;
+
 private:
   struct Entry {
     std::weak_ptr<void> m_Owner;
@@ -34,6 +42,7 @@
   void arm();
 
   QTimer m_Timer;
+  LatencyWindow m_Lateness{{.m_HalfLife = seconds(2)}};
   std::multimap<TimePoint, Entry> m_Entries;
 };
 
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -17,6 +17,7 @@
   return {.m_Vm = VmName(Name),
           .m_StartedMs = StartedMs,
           .m_Phase = VmPhase::Serving,
+          .m_DataCentre = DataCentreName("dc-" + std::to_string(Index % 3)),
           .m_CallerAddress = "c-" + Name,
           .m_GossipAddress = "g-" + Name,
           .m_StateAddress = "s-" + Name};
@@ -166,6 +167,21 @@
     BOOST_TEST(Each->serving(m_Now).size() == 15U);
 }
 
+BOOST_AUTO_TEST_CASE(Messages_ofALargeFleet_rarelyLeaveTheirDataCentre) {
+  setFleet(126);
+  runRounds(60);
+  std::size_t Far = 0;
+  std::size_t All = 0;
+  for (std::size_t I = 0; I < m_Vms.size(); ++I)
+    for (const std::string &To : m_Vms[I]->beginRound(m_Now).m_To) {
+      const std::size_t Index = std::stoul(To.substr(5));
+      Far += Index % 3 == I % 3 ? 0 : 1;
+      ++All;
+    }
+  BOOST_TEST(Far * 8 <= All);
+  BOOST_TEST(Far > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(News_ofTheState_isHeardOfEverywhereWithinASecond) {
   setFleet(126);
   runRounds(60);
--- a/test/correctness/StateFeedTest.cpp
+++ b/test/correctness/StateFeedTest.cpp
@@ -150,6 +150,7 @@
 BOOST_AUTO_TEST_CASE(Vm_registersOnceAndFindsTheOthers) {
   m_Store->put("figturn-vms", "vm-2", {{"gossipAddress", "10.0.0.2:7740"}});
   startAndSettle();
+  m_Feed->refreshVms();
   spinUntil([&] { return !m_Seen.m_Vms.empty(); });
   spinUntil([&] { return m_Store->m_Calls["write figturn-vms"] == 1; });
 }
