--- a/src/coordination/ReplicaRace.cpp
+++ b/src/coordination/ReplicaRace.cpp
@@ -109,6 +109,7 @@
 std::optional<TimePoint> ReplicaRace::hedgeTime() const {
   if (isOver() || m_Hedged || m_Options.m_Kind == RouteKind::SingleRun ||
       m_Sends >= m_Options.m_MaxSends ||
+      m_Options.m_HedgeAt > m_Options.m_LastSendAt ||
       m_Options.m_HedgeAt == TimePoint::max())
     return std::nullopt;
   return m_Options.m_HedgeAt;
@@ -118,12 +119,13 @@
                                                  TimePoint Now) {
   if (!hedgeTime())
     return std::nullopt;
-  m_Hedged = true;
+  m_Options.m_HedgeAt = Now + m_Options.m_HedgeRetry;
   if (!World.takeExtraCall(m_Options.m_Service, SendKind::Hedge))
     return std::nullopt;
   auto Next = send(SendKind::Hedge, World, Now);
   if (!Next)
     World.returnExtraCall(m_Options.m_Service);
+  m_Hedged = Next.has_value();
   return Next;
 }
 
--- a/src/coordination/ReplicaRace.h
+++ b/src/coordination/ReplicaRace.h
@@ -58,6 +58,9 @@
   RouteKind m_Kind = RouteKind::Idempotent;
   std::uint32_t m_MaxSends = 1;
   TimePoint m_HedgeAt = TimePoint::max();    ///< Never for single runs.
+  /** A hedge that the budget or the lack of replicas held back is tried
+   *  again after so long. */
+  Duration m_HedgeRetry = milliseconds(25);
   TimePoint m_LastSendAt = TimePoint::max(); ///< A later call can't end.
 };
 
--- a/test/correctness/ReplicaRaceTest.cpp
+++ b/test/correctness/ReplicaRaceTest.cpp
@@ -139,6 +139,17 @@
   BOOST_TEST(m_World.m_Tokens == 10);
 }
 
+BOOST_AUTO_TEST_CASE(Hedge_heldBackByTheBudget_isTriedAgain) {
+  m_World.m_Tokens = 0;
+  start();
+  const TimePoint At = Start + milliseconds(40);
+  BOOST_TEST(!m_Race->onHedgeTime(m_World, At));
+  BOOST_TEST((m_Race->hedgeTime() == At + milliseconds(25)));
+  m_World.m_Tokens = 1;
+  BOOST_TEST(m_Race->onHedgeTime(m_World, At + milliseconds(25)).has_value());
+  BOOST_TEST(!m_Race->hedgeTime());
+}
+
 BOOST_AUTO_TEST_CASE(Call_thatCouldNotEndInTime_isNotSent) {
   m_Options.m_LastSendAt = Start + milliseconds(100);
   start();
