Notice watches that a silent store swallowed

A target that began to leave at 26.4 s got requests until 31.4 s. Ruled out: the relay (no VM knew), the election (its twelve did not change), keep-alive (the connections were sound), history (the kind's calls got no 410). Change: four sentinels keep their watches to 4 s and tell the others; any failed call, or history gone, makes a VM list the other kinds anew at its next contact.

--- a/src/coordination/ReplicaRace.h
+++ b/src/coordination/ReplicaRace.h
@@ -57,7 +57,7 @@
   ServiceName m_Service;
   RouteKind m_Kind = RouteKind::Idempotent;
   std::uint32_t m_MaxSends = 1;
-  TimePoint m_HedgeAt = TimePoint::max();    ///< Never for single runs.
+  TimePoint m_HedgeAt = TimePoint::max(); ///< Never for single runs.
   /** A hedge that the budget or the lack of replicas held back is tried
    *  again after so long. */
   Duration m_HedgeRetry = milliseconds(25);
--- a/src/coordination/WatcherElection.h
+++ b/src/coordination/WatcherElection.h
@@ -7,28 +7,44 @@
  * fleet, so in a large fleet only some VMs watch and the others take what
  * changed from their peers. Every VM works out the same answer from the list
  * of VMs that run; while lists differ some more watch, which is harmless.
+ *
+ * A store that goes silent swallows the watches that are sent meanwhile, and
+ * answers them never, also when it is back. Sentinels keep their watches short
+ * and so are the first to know again; the others hear it from them.
  */
 
 #include "state/Ids.h"
 
 #include <cstddef>
+#include <string_view>
 #include <vector>
 
 namespace figturn {
 
+/** How a VM follows the store. */
+enum class StoreRole {
+  Follower, ///< Takes changes from other VMs.
+  Watcher,  ///< Waits for changes at the store.
+  Sentinel  ///< Waits for a short time only, again and again.
+};
+
+/** "follower", "watcher" or "sentinel", for logs. */
+std::string_view storeRoleName(StoreRole Role);
+
 /** Sizes of WatcherElection. */
 struct WatcherOptions {
   /** Fleets up to this size watch altogether. */
   std::size_t m_AllUpTo = 20;
   /** Watchers of a larger fleet; one that works is enough, and so many don't
    *  fail at once in the same seconds. */
-  std::size_t m_Watchers = 12;
+  std::size_t m_Watchers = 12; ///< Sentinels included.
+  std::size_t m_Sentinels = 4;
 };
 
-/** Whether \p Self watches, given the VMs that run and reach the store, itself
+/** The role of \p Self, given the VMs that run and reach the store, itself
  *  included. */
-bool isWatcher(const VmName &Self, const std::vector<VmName> &Able,
-               const WatcherOptions &Options = {});
+StoreRole storeRole(const VmName &Self, const std::vector<VmName> &Able,
+                    const WatcherOptions &Options = {});
 
 } // namespace figturn
 
--- a/src/node/PlatformLink.h
+++ b/src/node/PlatformLink.h
@@ -6,6 +6,7 @@
  * own terms. The adapter to a platform implements PlatformLink.
  */
 
+#include "coordination/WatcherElection.h"
 #include "state/Ids.h"
 #include "state/RoutingConfig.h"
 #include "state/StateVersion.h"
@@ -51,9 +52,8 @@
   virtual ~PlatformLink() = default;
   virtual void start(PlatformListener &Listener) = 0;
   virtual void stop() = 0;
-  /** Whether to follow the platform by watches, or to rely on other VMs for
-   *  what changes. */
-  virtual void setWatching(bool Watches) = 0;
+  /** How to follow the platform. */
+  virtual void setRole(StoreRole Role) = 0;
   virtual bool isWatching() const = 0;
   /** Whether the platform answered the latest calls. */
   virtual bool isReachable() const = 0;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -252,7 +252,7 @@
       std::exchange(m_SharerCount, Sharers) != Sharers)
     m_World.updateShares(Now);
   PlatformLink &Link = *m_Platform.m_Link;
-  Link.setWatching(isWatcher(m_Settings.m_Vm, m_Fleet.storeReaders(Now)));
+  Link.setRole(storeRole(m_Settings.m_Vm, m_Fleet.storeReaders(Now)));
   m_Fleet.setState(Link.stateVersion(), Link.isReachable());
   copyStateFromPeer(Now);
   if (m_Fleet.countAlive(Now) == 0 && Now >= m_NextVmRefreshAt) {
--- a/src/node/RoutedRun.h
+++ b/src/node/RoutedRun.h
@@ -64,8 +64,7 @@
 
   void answer(HttpResponse Response, std::size_t Asked, std::size_t Answered,
               TimePoint Now);
-  void refuse(std::error_code Reason, std::string_view Sentence,
-              TimePoint Now);
+  void refuse(std::error_code Reason, std::string_view Sentence, TimePoint Now);
   /** \p Lost says for the log which services gave no answer, and why. */
   void refuse(std::error_code Reason, std::string_view Sentence,
               const std::string &Lost, TimePoint Now);
--- a/test/correctness/RoutedPolicyTest.cpp
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -75,7 +75,7 @@
   const auto Watchers = [&] {
     std::set<VmName> Out;
     for (const VmName &Each : Fleet)
-      if (isWatcher(Each, Fleet))
+      if (storeRole(Each, Fleet) != StoreRole::Follower)
         Out.insert(Each);
     return Out;
   };
@@ -93,8 +93,12 @@
   std::vector<VmName> Fleet;
   for (int I = 0; I < 15; ++I)
     Fleet.emplace_back("vm-" + std::to_string(I));
-  for (const VmName &Each : Fleet)
-    BOOST_TEST(isWatcher(Each, Fleet));
+  int Sentinels = 0;
+  for (const VmName &Each : Fleet) {
+    BOOST_TEST((storeRole(Each, Fleet) != StoreRole::Follower));
+    Sentinels += storeRole(Each, Fleet) == StoreRole::Sentinel ? 1 : 0;
+  }
+  BOOST_TEST(Sentinels == 4);
 }
 
 BOOST_AUTO_TEST_CASE(Rotation_givesEachServiceItsExactShare) {
--- a/test/correctness/StateFeedTest.cpp
+++ b/test/correctness/StateFeedTest.cpp
@@ -147,6 +147,37 @@
   BOOST_TEST(m_Seen.m_Versions.back() == 6U);
 }
 
+// A store that went silent swallowed the registry's watch and answered it
+// never; targets that left were used for 5 s more (grown site, day trouble-3).
+BOOST_AUTO_TEST_CASE(
+    Watch_swallowedBySilence_isReplacedAtAnotherSignOfTrouble) {
+  startAndSettle();
+  m_Store->m_Swallowed = "servers";
+  m_Store->put("servers", "i-2", m_Searcher->entry()); // Its watch returns.
+  spinUntil([&] { return m_Store->m_Calls["watch servers"] == 2; });
+  m_Store->m_Swallowed.clear();
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  m_Store->forgetHistory();
+  m_Store->put("config", "main", routedConfig(5));
+  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
+  m_Store->forgetHistory();
+  m_Store->put("config", "main", routedConfig(6));
+  spinUntil([&] { return m_Seen.m_Listings.size() == 2; });
+  BOOST_TEST(m_Store->m_Calls["list servers"] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_ofASentinelSwallowedBySilence_isNoticedSoon) {
+  startAndSettle();
+  m_Feed->setRole(StoreRole::Sentinel);
+  m_Store->m_Swallowed = "servers";
+  m_Store->put("servers", "i-2", m_Searcher->entry());
+  spinUntil([&] { return m_Store->m_Calls["watch servers"] == 2; });
+  m_Store->m_Swallowed.clear();
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  spinUntil([&] { return m_Seen.m_Listings.size() == 2; }); // 6 s at most
+  BOOST_TEST(m_Seen.m_Changed.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Vm_registersOnceAndFindsTheOthers) {
   m_Store->put("figturn-vms", "vm-2", {{"gossipAddress", "10.0.0.2:7740"}});
   startAndSettle();
@@ -198,7 +229,7 @@
   StateFeed Follower(Settings, 2);
   Follower.start(Elsewhere);
   spinUntil([&] { return Follower.isCurrent(); });
-  Follower.setWatching(false);
+  Follower.setRole(StoreRole::Follower);
   const int Watches = m_Store->m_Calls["watch servers"];
   m_Store->cutConnections();
   m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
@@ -216,12 +247,12 @@
 
 BOOST_AUTO_TEST_CASE(Vm_thatLeavesWatchingToOthers_makesNoCalls) {
   startAndSettle();
-  m_Feed->setWatching(false);
+  m_Feed->setRole(StoreRole::Follower);
   m_Store->put("config", "main", routedConfig(5)); // Ends its last watch.
   spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
   const int Watches = m_Store->m_Calls["watch config"];
   m_Store->put("config", "main", routedConfig(6));
-  m_Feed->setWatching(true);
+  m_Feed->setRole(StoreRole::Watcher);
   spinUntil([&] { return m_Seen.m_Versions.size() == 3; });
   BOOST_TEST(m_Store->m_Calls["list config"] == 2);
   spinUntil([&] { return m_Store->m_Calls["watch config"] == Watches + 1; });
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -215,6 +215,8 @@
 void StoreStandin::watch(const std::string &Kind, const PlainRequest &Request,
                          PlainReply Reply) {
   ++m_Calls["watch " + Kind];
+  if (Kind == m_Swallowed)
+    return;
   const Watch Waiting{Kind, std::stoull(Request.m_Query.at("watch")), Reply};
   if (Waiting.m_After < m_OldestKnown)
     Reply.send(410, "{}");
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -94,6 +94,8 @@
 
   bool m_IsDown = false;         ///< Answers 503.
   bool m_WatchesAreDeaf = false; ///< Waiting watches hear of nothing.
+  /** Watches of this kind that come now are never answered. */
+  std::string m_Swallowed;
   std::size_t m_PageSize = 500;
   std::map<std::string, int> m_Calls; ///< By "list KIND", "watch KIND", ...
 
