Test a swallowed watch by another kind's expired one

The case committed before could not come true: the store's stand-in answered the config's watch at once, so that there was no sign of trouble; now its history expires under the waiting watch.

--- a/test/correctness/StateFeedTest.cpp
+++ b/test/correctness/StateFeedTest.cpp
@@ -157,11 +157,7 @@
   spinUntil([&] { return m_Store->m_Calls["watch servers"] == 2; });
   m_Store->m_Swallowed.clear();
   m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
-  m_Store->forgetHistory();
-  m_Store->put("config", "main", routedConfig(5));
-  spinUntil([&] { return m_Seen.m_Versions.size() == 2; });
-  m_Store->forgetHistory();
-  m_Store->put("config", "main", routedConfig(6));
+  m_Store->expireWatches("config");
   spinUntil([&] { return m_Seen.m_Listings.size() == 2; });
   BOOST_TEST(m_Store->m_Calls["list servers"] == 2);
 }
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -165,6 +165,15 @@
   m_OldestKnown = m_Revision;
 }
 
+void StoreStandin::expireWatches(const std::string &Kind) {
+  forgetHistory();
+  m_Watches.remove_if([&](const Watch &Each) {
+    if (Each.m_Kind == Kind)
+      Each.m_Reply.send(410, "{}");
+    return Each.m_Kind == Kind;
+  });
+}
+
 void StoreStandin::cutConnections() {
   m_Watches.clear();
   m_Server.resetConnections();
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -89,6 +89,8 @@
   void remove(const std::string &Kind, const std::string &Name);
   /** Watches from before now are answered 410 from now on. */
   void forgetHistory();
+  /** Forgets the history and tells the waiting watches of \p Kind so. */
+  void expireWatches(const std::string &Kind);
   /** Ends all connections, and with them waiting watches. */
   void cutConnections();
 
