--- a/src/cli/RoutedServe.cpp
+++ b/src/cli/RoutedServe.cpp
@@ -55,7 +55,7 @@
   char Name[] = "figturn";
   char *Arguments[] = {Name, nullptr};
   QCoreApplication Application(Count, Arguments);
-  setLogOutput(LogOutput::StandardOutput);
+  setLogOutput(LogOutput::StandardOutputInBlocks);
   WorkerPool Worker(1);
   std::random_device Device;
   std::unique_ptr<RoutedNode> Node;
--- a/src/cli/ServeCommand.cpp
+++ b/src/cli/ServeCommand.cpp
@@ -3,6 +3,7 @@
 #include "cli/ExitCode.h"
 #include "cli/SignalSource.h"
 #include "node/Node.h"
+#include "state/Event.h"
 
 #include <QCoreApplication>
 #include <csignal>
@@ -17,6 +18,7 @@
   char Name[] = "figturn";
   char *Arguments[] = {Name, nullptr};
   QCoreApplication Application(Count, Arguments);
+  setLogOutput(LogOutput::StandardOutput);
   Node Entry(Options.m_Settings);
   if (const auto Error = Entry.start()) {
     fmt::print(stderr,
--- a/src/state/Event.cpp
+++ b/src/state/Event.cpp
@@ -42,10 +42,10 @@
 }
 
 void setLogOutput(LogOutput Output) {
-  const bool IsService = Output == LogOutput::StandardOutput;
+  const bool IsService = Output != LogOutput::StandardError;
   logSink().configure(
       {.m_Descriptor = IsService ? STDOUT_FILENO : STDERR_FILENO,
-       .m_IsBuffered = IsService});
+       .m_IsBuffered = Output == LogOutput::StandardOutputInBlocks});
 }
 
 bool isLogged(Event Id) {
--- a/src/state/Event.h
+++ b/src/state/Event.h
@@ -45,8 +45,9 @@
 
 /** Where log lines go. */
 enum class LogOutput {
-  StandardError, ///< Each line at once.
-  StandardOutput ///< In blocks; the process calls logSink().flush().
+  StandardError,         ///< Each line at once.
+  StandardOutput,        ///< Each line at once.
+  StandardOutputInBlocks ///< The process calls logSink().flush().
 };
 
 /** Standard error holds at start. */
