--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -108,10 +108,9 @@
   Change.m_Missing.push_back(Lost);
 }
 
-void TargetRegistry::drop(const TargetPtr &Old) {
-  const TargetPtr Kept = Old; // The argument may be one of the table's own.
-  m_ByName.erase(Kept->m_Entry.m_Instance.m_Name);
-  std::erase(m_ByService[Kept->m_Entry.m_Service], Kept);
+void TargetRegistry::drop(TargetPtr Old) {
+  m_ByName.erase(Old->m_Entry.m_Instance.m_Name);
+  std::erase(m_ByService[Old->m_Entry.m_Service], Old);
 }
 
 } // namespace figturn
--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -79,7 +79,8 @@
   void put(TargetEntry Entry, RegistryChange &Change);
   void markMissing(const TargetPtr &Lost, TimePoint Now,
                    RegistryChange &Change);
-  void drop(const TargetPtr &Old);
+  /** By value: the argument may be one of the table's own. */
+  void drop(TargetPtr Old);
 
   TargetRegistryOptions m_Options;
   std::map<TargetName, TargetPtr> m_ByName;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -77,6 +77,7 @@
 
 template <typename Range> std::string namesOf(const Range &Targets) {
   std::vector<std::string_view> Names;
+  Names.reserve(Targets.size());
   for (const TargetPtr &Each : Targets)
     Names.push_back(Each->m_Entry.m_Instance.m_Name.value());
   return fmt::format("{}", fmt::join(Names, ","));
@@ -218,6 +219,7 @@
 
 void RoutedNode::onEvacuations(std::set<DataCentreName> Evacuated) {
   std::vector<std::string_view> Names;
+  Names.reserve(Evacuated.size());
   for (const DataCentreName &Each : Evacuated)
     Names.push_back(Each.value());
   logEvent(Event::EvacuationsChanged, "data_centres={}", fmt::join(Names, ","));
--- a/test/correctness/RoutedPolicyTest.cpp
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -70,6 +70,7 @@
 
 BOOST_AUTO_TEST_CASE(Watchers_ofALargeFleet_areTwelveAndReplacedOneByOne) {
   std::vector<VmName> Fleet;
+  Fleet.reserve(117);
   for (int I = 0; I < 117; ++I)
     Fleet.emplace_back("vm-" + std::to_string(I));
   const auto Watchers = [&] {
@@ -91,6 +92,7 @@
 
 BOOST_AUTO_TEST_CASE(Watchers_ofTodaysFleet_areAllVms) {
   std::vector<VmName> Fleet;
+  Fleet.reserve(15);
   for (int I = 0; I < 15; ++I)
     Fleet.emplace_back("vm-" + std::to_string(I));
   int Sentinels = 0;
