Refuse two event numbers given to explain

Cause: explain takes an id and files since lately, and read F0102 F0103 as such; CommandLineTest, which stands unchanged, asks for a usage error. Change: an event number with further arguments is a usage error.

--- a/src/cli/ExplainCommand.cpp
+++ b/src/cli/ExplainCommand.cpp
@@ -38,6 +38,13 @@
   return ExitCode::Ok;
 }
 
+/** Whether \p Text is an event's number as log lines write it. */
+bool isEventNumber(const std::string &Text) {
+  return Text.size() == 5 && Text[0] == 'F' &&
+         std::all_of(Text.begin() + 1, Text.end(),
+                     [](char C) { return C >= '0' && C <= '9'; });
+}
+
 void printLine(const StoryLine &Line) {
   fmt::print("  {} {} F{:04} {} {}\n", Line.m_Time, Line.m_Source, Line.m_Event,
              Line.m_Name, Line.m_Fields);
@@ -74,6 +81,9 @@
 ExitCode explainCommand(const std::vector<std::string> &Arguments) {
   if (Arguments.size() == 1)
     return explainEvent(Arguments[0]);
+  if (isEventNumber(Arguments[0]))
+    return usageError("`figturn explain` takes one event number, or a "
+                      "request's id and log files");
   return explainRequest(Arguments[0], {Arguments.begin() + 1, Arguments.end()});
 }
 
