--- a/test/correctness/StateFeedTest.cpp
+++ b/test/correctness/StateFeedTest.cpp
@@ -241,6 +241,20 @@
   Follower.stop();
 }
 
+BOOST_AUTO_TEST_CASE(Changes_ofAnotherVm_areTakenWhileTheStoreIsAway) {
+  startAndSettle();
+  m_Store->m_IsDown = true;
+  m_Store->cutConnections();
+  spinUntil([&] { return !m_Feed->isCurrent(); });
+  const QJsonObject Entry{{"storeRevision", 1000},
+                          {"spec", m_Searcher->entry("draining")}};
+  m_Feed->importState(toCompactText({{"targetsRevision", 1000},
+                                     {"targets", QJsonObject{{"i-1", Entry}}},
+                                     {"removed", QJsonObject{}},
+                                     {"isWhole", false}}));
+  BOOST_TEST(m_Seen.m_Changed == std::vector<std::string>{"i-1"});
+}
+
 BOOST_AUTO_TEST_CASE(Vm_thatLeavesWatchingToOthers_makesNoCalls) {
   startAndSettle();
   m_Feed->setRole(StoreRole::Follower);
