Log and count copies of the state between VMs

Whether copies fail because they don't fit their timeout, or because their sources render most of them in vain, can't be told from what is logged: neither the end of a requested copy nor what a source serves leaves a line.

F0205 state-copy-ended says how a requested copy ended, its size and its time; F0206 state-copy-served says what a source rendered, how long that took and how many copies it has not completely sent yet. Five counters go to the metrics.

No decision changes.

--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -3,6 +3,7 @@
 #include "coordination/WatcherElection.h"
 #include "protocol/JsonConvert.h"
 #include "protocol/SettingsCodec.h"
+#include "state/Errc.h"
 #include "state/Event.h"
 
 #include <QJsonArray>
@@ -297,17 +298,45 @@
   logEvent(Event::StateCopyAsked, "from={} config={} targets={} watching={}",
            Source->m_Address, Source->m_Version.m_Config,
            Source->m_Version.m_Targets, Adapter.isWatching());
-  m_StateFetcher.fetch(
+  const bool IsSent = m_StateFetcher.fetch(
       Source->m_Address, fmt::format("{}?{}", StatePath, Adapter.stateQuery()),
       StateCopyTimeout,
-      [this, Address = Source->m_Address](const std::string *Body) {
-        if (!Body) {
-          m_Fleet.removeStateSource(Address);
-          return;
-        }
-        m_Platform.m_Adapter->importState(*Body);
-        onFleetChange();
+      [this, Address = Source->m_Address, Now](const PeerReply &Reply) {
+        onStateCopy(Address, Reply, Clock::now() - Now);
       });
+  if (!IsSent)
+    onStateCopy(Source->m_Address, {.m_Error = Errc::ConnectFailed}, {});
+}
+
+void RoutedNode::onStateCopy(const std::string &Address, const PeerReply &Reply,
+                             Duration Elapsed) {
+  ++(Reply.isOk() ? m_CopyCounters.m_Complete : m_CopyCounters.m_Failed);
+  logEvent(Event::StateCopyEnded, "from={} status={} error={} bytes={} ms={}",
+           Address, Reply.m_Status,
+           Reply.m_Error ? Reply.m_Error.message() : "none",
+           Reply.m_Body.size(),
+           std::chrono::duration_cast<milliseconds>(Elapsed).count());
+  if (!Reply.isOk()) {
+    m_Fleet.removeStateSource(Address);
+    return;
+  }
+  m_Platform.m_Adapter->importState(Reply.m_Body);
+  onFleetChange();
+}
+
+HttpResponse RoutedNode::serveStateCopy(const HttpRequest &Request) {
+  const TimePoint Start = Clock::now();
+  HttpResponse Response{.m_Body =
+                            m_Platform.m_Adapter->exportState(Request.m_Query)};
+  const Duration RenderTime = Clock::now() - Start;
+  ++m_CopyCounters.m_Served;
+  m_CopyCounters.m_ServedBytes += Response.m_Body.size();
+  m_CopyCounters.m_RenderTime += RenderTime;
+  logEvent(Event::StateCopyServed, "bytes={} render_us={} pending={}",
+           Response.m_Body.size(),
+           std::chrono::duration_cast<microseconds>(RenderTime).count(),
+           m_ControlServer->pendingRequests());
+  return Response;
 }
 
 // Periodic work.
@@ -370,7 +399,7 @@
 
 HttpResponse RoutedNode::serveControl(const HttpRequest &Request) {
   if (Request.m_Path == StatePath)
-    return {.m_Body = m_Platform.m_Adapter->exportState(Request.m_Query)};
+    return serveStateCopy(Request);
   if (Request.m_Path == StatusPath)
     return {.m_Body = statusText()};
   if (Request.m_Path == MetricsPath)
@@ -421,6 +450,12 @@
   Add("platform_calls_total{kind=\"watch\"}", Calls.m_Watches);
   Add("platform_calls_total{kind=\"write\"}", Calls.m_Writes);
   Add("platform_failures_total", Calls.m_Failures);
+  Add("state_copies_total{outcome=\"complete\"}", m_CopyCounters.m_Complete);
+  Add("state_copies_total{outcome=\"failed\"}", m_CopyCounters.m_Failed);
+  Add("state_copies_served_total", m_CopyCounters.m_Served);
+  Add("state_copies_served_bytes_total", m_CopyCounters.m_ServedBytes);
+  Add("state_copies_render_seconds_total",
+      std::chrono::duration<double>(m_CopyCounters.m_RenderTime).count());
   Add("vms_alive", m_Fleet.countAlivePeers(Now) + 1);
   Add("targets", m_Context.registry().size());
   Add("target_connections", m_Context.connectionPools().connections());
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -41,6 +41,15 @@
       m_Directory;
 };
 
+/** Counts of copies of the state between VMs. */
+struct StateCopyCounters {
+  std::uint64_t m_Complete = 0; ///< Requested from other VMs, and received.
+  std::uint64_t m_Failed = 0;   ///< Requested from other VMs in vain.
+  std::uint64_t m_Served = 0;   ///< Rendered for other VMs.
+  std::uint64_t m_ServedBytes = 0;
+  Duration m_RenderTime{}; ///< Sum over the copies served.
+};
+
 /** One VM. Created and used on its worker. */
 class RoutedNode final : public PlatformListener {
 public:
@@ -73,6 +82,9 @@
                             std::string_view Cause);
   void onFleetChange();
   void copyStateFromPeer(TimePoint Now);
+  void onStateCopy(const std::string &Address, const PeerReply &Reply,
+                   Duration Elapsed);
+  HttpResponse serveStateCopy(const HttpRequest &Request);
   void onTick();
   void advanceDrain();
   HttpResponse serveControl(const HttpRequest &Request);
@@ -94,6 +106,7 @@
   ServerPtr m_ControlServer;
   ServerPtr m_MetricsServer;
   PeerFetcher m_StateFetcher;
+  StateCopyCounters m_CopyCounters;
   bool m_HasTargets = false;
   bool m_WasReady = false;
   std::optional<TimePoint>
--- a/src/transport/PeerFetcher.cpp
+++ b/src/transport/PeerFetcher.cpp
@@ -16,8 +16,6 @@
 /** Short, because the next fetch usually goes to another peer. */
 constexpr milliseconds IdleTimeout{1000};
 
-constexpr unsigned StatusOk = 200;
-
 } // namespace
 
 bool PeerFetcher::fetch(const std::string &Address,
@@ -48,8 +46,9 @@
         if (Result.m_Error == Errc::Cancelled)
           return; // The fetcher is being destroyed.
         m_IsBusy = false;
-        const bool IsComplete = !Result.m_Error && Result.m_Status == StatusOk;
-        OnResult(IsComplete ? &Result.m_Body : nullptr);
+        OnResult({.m_Error = Result.m_Error,
+                  .m_Status = Result.m_Status,
+                  .m_Body = Result.m_Body});
       });
   return true;
 }
--- a/src/transport/PeerFetcher.h
+++ b/src/transport/PeerFetcher.h
@@ -10,15 +10,23 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <system_error>
 
 namespace figturn {
 
+/** Outcome of a fetch. */
+struct PeerReply {
+  std::error_code m_Error; ///< Set if no complete reply was received.
+  unsigned m_Status = 0;   ///< HTTP status; 0 if there is an error.
+  std::string m_Body;
+
+  bool isOk() const { return !m_Error && m_Status == 200; }
+};
+
 /** Fetches one document at a time; runs on one worker. */
 class PeerFetcher {
 public:
-  /** Receives the body of a complete reply with status 200; null if there is
-   *  none. */
-  using Handler = std::function<void(const std::string *Body)>;
+  using Handler = std::function<void(const PeerReply &)>;
 
   /** Fetches \p RequestTarget from \p Address ("IP:port"). Returns false if a
    *  fetch is in progress or the address is invalid. */
