Move the schedule of state copies to coordination

When a VM requests a copy of a peer's state was decided inside RoutedNode, with the clock and the fetcher beside it, so that no test could replay it in virtual time. StateCopySchedule decides it with the time as an argument. No decision changes.

--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -30,14 +30,6 @@
  *  starved of CPU. */
 constexpr milliseconds PauseThreshold{1000};
 
-/** A VM that watches the platform itself requests a copy of a peer's state
- *  after being behind for this long: its own watch may have gone silent. */
-constexpr milliseconds StateCopyDelay{700};
-
-/** Limits the number of copies during a burst of changes. */
-constexpr milliseconds MinStateCopyInterval{300};
-constexpr milliseconds StateCopyTimeout{800};
-
 /** Interval at which a VM without live peers reads the list of VMs from the
  *  platform. */
 constexpr milliseconds VmRefreshInterval{3000};
@@ -282,25 +274,16 @@
 
 void RoutedNode::copyStateFromPeer(TimePoint Now) {
   const auto Source = m_Fleet.selectNewerStateSource();
-  if (!Source) {
-    m_BehindPeerSince.reset();
-    return;
-  }
-  if (!m_BehindPeerSince)
-    m_BehindPeerSince = Now;
-  // A watcher receives most changes from its own watch a moment later.
   PlatformAdapter &Adapter = *m_Platform.m_Adapter;
   const bool HasCurrentWatch = Adapter.isWatching() && Adapter.isCurrent();
-  if (m_StateFetcher.isBusy() || Now < m_NextCopyAt ||
-      (HasCurrentWatch && Now - *m_BehindPeerSince < StateCopyDelay))
+  if (!m_CopySchedule.startIfDue(Source.has_value(), HasCurrentWatch, Now))
     return;
-  m_NextCopyAt = Now + MinStateCopyInterval;
   logEvent(Event::StateCopyAsked, "from={} config={} targets={} watching={}",
            Source->m_Address, Source->m_Version.m_Config,
            Source->m_Version.m_Targets, Adapter.isWatching());
   const bool IsSent = m_StateFetcher.fetch(
       Source->m_Address, fmt::format("{}?{}", StatePath, Adapter.stateQuery()),
-      StateCopyTimeout,
+      m_CopySchedule.timeout(),
       [this, Address = Source->m_Address, Now](const PeerReply &Reply) {
         onStateCopy(Address, Reply, Clock::now() - Now);
       });
@@ -310,6 +293,7 @@
 
 void RoutedNode::onStateCopy(const std::string &Address, const PeerReply &Reply,
                              Duration Elapsed) {
+  m_CopySchedule.onEnded();
   ++(Reply.isOk() ? m_CopyCounters.m_Complete : m_CopyCounters.m_Failed);
   logEvent(Event::StateCopyEnded, "from={} status={} error={} bytes={} ms={}",
            Address, Reply.m_Status,
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -11,6 +11,7 @@
 #include "coordination/DirectoryPolicy.h"
 #include "coordination/DrainSequence.h"
 #include "coordination/FleetView.h"
+#include "coordination/StateCopySchedule.h"
 #include "node/GossipSocket.h"
 #include "node/PlatformAdapter.h"
 #include "node/RoutedContext.h"
@@ -106,13 +107,11 @@
   ServerPtr m_ControlServer;
   ServerPtr m_MetricsServer;
   PeerFetcher m_StateFetcher;
+  StateCopySchedule m_CopySchedule{{}};
   StateCopyCounters m_CopyCounters;
   bool m_HasTargets = false;
   bool m_WasReady = false;
-  std::optional<TimePoint>
-      m_BehindPeerSince; ///< Since when a peer has had newer state.
   TimePoint m_StartedAt;
-  TimePoint m_NextCopyAt;
   TimePoint m_NextVmRefreshAt;
   TimePoint m_LastTickAt;
   std::size_t m_QuotaMemberCount = 0;
