Copy the registry apart from the configuration

Cause: a VM that doesn't watch the store copies the state of a peer as a whole. One copy, one timeout and one fetch at a time held the registry's changes, a few hundred bytes, back until a configuration of up to a megabyte was through, and with 4,200 routes it never was: 112 VMs sent one another to the same three sources, each of which has 14 Mbit/s for them.

Change: targets and evacuations are one part, the configuration is another; each has its own schedule, timeout and connection. A VM sends at most three bulky copies at a time and defers further requests (503), so that small ones pass. Each VM retains sources at random among those of the latest version of each field, instead of the first three by the sum of the versions, which dropped the only sources of a new configuration whenever their registry was older. A VM that stays behind for 1.5 s (configuration: 2.5 s) reads the part from the store.

Evidence: StateSpreadReplayTest, links of 14 Mbit/s, 126 VMs. VMs that don't know after 5 s that a target leaves: 86 before, 0 after.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -3,8 +3,10 @@
 #include "state/RendezvousHash.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace figturn {
@@ -39,9 +41,10 @@
 void FleetView::setState(const StateVersion &Version, bool CanReachStore) {
   m_State = Version;
   m_Self.m_CanReachStore = CanReachStore;
-  if (Version.sum() > 0)
-    mergeStateSource(
-        {.m_Address = m_Self.m_StateAddress, .m_Version = Version});
+  if (Version == StateVersion())
+    return;
+  mergeStateSource({.m_Address = m_Self.m_StateAddress, .m_Version = Version});
+  retainLatestStateSources();
 }
 
 void FleetView::mergeStateSource(const StateSource &Source) {
@@ -50,25 +53,42 @@
       [&](const auto &Each) { return Each.m_Address == Source.m_Address; });
   if (Known == m_StateSources.end())
     m_StateSources.push_back(Source);
-  else if (Source.m_Version.sum() > Known->m_Version.sum())
-    Known->m_Version = Source.m_Version;
-  std::stable_sort(m_StateSources.begin(), m_StateSources.end(),
-                   [](const StateSource &Left, const StateSource &Right) {
-                     return Left.m_Version.sum() > Right.m_Version.sum();
-                   });
-  m_StateSources.resize(
-      std::min(m_StateSources.size(), m_Options.m_MaxStateSources));
+  else
+    Known->m_Version.raiseTo(Source.m_Version);
 }
 
-std::optional<StateSource> FleetView::selectNewerStateSource() {
-  std::vector<StateSource> Useful;
+void FleetView::retainLatestStateSources() {
+  constexpr std::array Fields{&StateVersion::m_Config, &StateVersion::m_Targets,
+                              &StateVersion::m_Evacuations};
+  // Each VM retains other sources of the same version, so that requests for
+  // copies are spread over all of them.
+  std::shuffle(m_StateSources.begin(), m_StateSources.end(), m_Random);
+  std::vector<bool> IsRetained(m_StateSources.size(), false);
+  std::vector<std::size_t> Order(m_StateSources.size());
+  for (const auto Field : Fields) {
+    std::iota(Order.begin(), Order.end(), std::size_t{0});
+    std::stable_sort(Order.begin(), Order.end(), [&](auto Left, auto Right) {
+      return m_StateSources[Left].m_Version.*Field >
+             m_StateSources[Right].m_Version.*Field;
+    });
+    for (std::size_t I = 0;
+         I < std::min(Order.size(), m_Options.m_MaxStateSources); ++I)
+      IsRetained[Order[I]] = true;
+  }
+  std::size_t Index = 0;
+  std::erase_if(m_StateSources,
+                [&](const StateSource &) { return !IsRetained[Index++]; });
+}
+
+std::optional<StateSource> FleetView::selectNewerStateSource(StatePart Part) {
+  std::vector<StateSource> Newer;
   for (const StateSource &Each : m_StateSources)
-    if (Each.m_Version.hasNewerPartThan(m_State) &&
+    if (Each.m_Version.isNewer(Part, m_State) &&
         Each.m_Address != m_Self.m_StateAddress)
-      Useful.push_back(Each);
-  if (Useful.empty())
+      Newer.push_back(Each);
+  if (Newer.empty())
     return std::nullopt;
-  return Useful[m_Random() % Useful.size()];
+  return Newer[m_Random() % Newer.size()];
 }
 
 void FleetView::removeStateSource(const std::string &Address) {
@@ -125,8 +145,8 @@
   addRecords(Message.m_Payload, Now);
   Message.m_Payload.m_Crashes =
       Crashes.selectRecordsToSend(m_Options.m_MaxCrashesPerMessage, Now);
-  addHeartbeats(Message.m_Payload, Now);
   Message.m_Payload.m_StateSources = m_StateSources;
+  addHeartbeats(Message.m_Payload, Now);
   return Message;
 }
 
@@ -171,9 +191,13 @@
                             .m_HeartbeatCount = Each.m_Record.m_HeartbeatCount,
                             .m_LagMs = Each.m_Record.m_LagMs});
   std::shuffle(Heartbeats.begin(), Heartbeats.end(), m_Random);
+  const std::size_t ExtraSources =
+      std::max(Payload.m_StateSources.size(), m_Options.m_MaxStateSources) -
+      m_Options.m_MaxStateSources;
   const std::size_t UsedSpace =
       std::min(Payload.m_Records.size() * m_Options.m_HeartbeatsPerRecord +
-                   Payload.m_Crashes.size() * m_Options.m_HeartbeatsPerCrash,
+                   Payload.m_Crashes.size() * m_Options.m_HeartbeatsPerCrash +
+                   ExtraSources * m_Options.m_HeartbeatsPerSource,
                m_Options.m_MaxHeartbeatsPerMessage);
   Heartbeats.resize(std::min(Heartbeats.size(),
                              m_Options.m_MaxHeartbeatsPerMessage - UsedSpace));
@@ -199,6 +223,7 @@
     mergeHeartbeat(Heartbeat, Now);
   for (const StateSource &Source : Payload.m_StateSources)
     mergeStateSource(Source);
+  retainLatestStateSources();
   return NewVms;
 }
 
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -102,8 +102,11 @@
    *  continues to advertise the others for this time, and then advertises only
    *  itself. */
   Duration m_IsolationTimeout = milliseconds(5000);
-  /** Maximum number of sources of the latest state that are forwarded. */
+  /** Maximum number of sources of the latest version of each field of
+   *  StateVersion that are forwarded. */
   std::size_t m_MaxStateSources = 3;
+  /** Number of heartbeat counts that take the space of one source. */
+  std::size_t m_HeartbeatsPerSource = 3;
   /** A VM from which nothing was received for this time no longer counts for
    *  shares of common limits. */
   Duration m_PeerRetention = seconds(30);
@@ -162,9 +165,9 @@
   /** Sets the version of this VM's own copy of the state, and whether the store
    *  responds to this VM. */
   void setState(const StateVersion &Version, bool CanReachStore);
-  /** Selects a VM whose copy of the state is newer in some part than this VM's;
-   *  none if no such VM is known. */
-  std::optional<StateSource> selectNewerStateSource();
+  /** Selects a VM whose copy of \p Part is newer than this VM's; none if no
+   *  such VM is known. */
+  std::optional<StateSource> selectNewerStateSource(StatePart Part);
   /** Removes \p Address, which did not return its copy. */
   void removeStateSource(const std::string &Address);
   /** Sets this VM's event loop lag. */
@@ -199,6 +202,7 @@
   bool mergeRecord(const VmRecord &Record, TimePoint Now);
   void mergeHeartbeat(const VmHeartbeat &Heartbeat, TimePoint Now);
   void mergeStateSource(const StateSource &Source);
+  void retainLatestStateSources();
   void addRecords(GossipPayload &Payload, TimePoint Now);
   void addHeartbeats(GossipPayload &Payload, TimePoint Now);
   Duration failureTimeout() const;
@@ -216,7 +220,7 @@
   std::map<std::uint32_t, VmName> m_ByKey;
   TimePoint m_LastAnyReceivedAt;
   StateVersion m_State; ///< Version of this VM's own copy.
-  /** Sorted by version, the latest first. */
+  /** For each field of StateVersion, sources of its latest version. */
   std::vector<StateSource> m_StateSources;
 };
 
--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -64,9 +64,11 @@
   virtual bool isCurrent() const = 0;
   /** Version of the state held, whether read or imported. */
   virtual StateVersion stateVersion() const = 0;
-  /** The query string for exportState() of another VM that selects state newer
-   *  than this VM's. */
-  virtual std::string stateQuery() const = 0;
+  /** Reads \p Part from the platform, whether this VM watches it or not. */
+  virtual void readState(StatePart Part) = 0;
+  /** The query string for exportState() of another VM that selects what is
+   *  newer than this VM's \p Part. */
+  virtual std::string stateQuery(StatePart Part) const = 0;
   /** State that is new for a VM whose stateQuery() is \p Query. */
   virtual std::string exportState(const std::string &Query) const = 0;
   /** Applies the parts of another VM's \p State that are newer than this
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -3,7 +3,6 @@
 #include "coordination/WatcherElection.h"
 #include "protocol/JsonConvert.h"
 #include "protocol/SettingsCodec.h"
-#include "state/Errc.h"
 #include "state/Event.h"
 
 #include <QJsonArray>
@@ -45,7 +44,6 @@
 constexpr double DrainServingFraction = 0.5;
 
 constexpr unsigned StatusNotFound = 404;
-constexpr const char *StatePath = "/v1/state";
 constexpr const char *StatusPath = "/v1/status";
 constexpr const char *MetricsPath = "/metrics";
 
@@ -92,7 +90,9 @@
       m_Frontend(m_Context,
                  [this] { return m_Platform.m_Adapter->isCurrent(); }),
       m_Gossip(m_Fleet, m_Context.crashQuarantine()),
-      m_DirectoryPolicy({}, Seed), m_Drain(drainOptions(Settings)) {
+      m_DirectoryPolicy({}, Seed), m_StateCopier(*m_Platform.m_Adapter, m_Fleet,
+                                                 [this] { onFleetChange(); }),
+      m_Drain(drainOptions(Settings)) {
   QObject::connect(&m_TickTimer, &QTimer::timeout, &m_TickTimer,
                    [this] { onTick(); });
 }
@@ -265,64 +265,13 @@
   PlatformAdapter &Adapter = *m_Platform.m_Adapter;
   Adapter.setRole(storeRole(m_Settings.m_Vm, m_Fleet.storeReaders(Now)));
   m_Fleet.setState(Adapter.stateVersion(), Adapter.isReachable());
-  copyStateFromPeer(Now);
+  m_StateCopier.requestCopies(Now);
   if (m_Fleet.countAlivePeers(Now) == 0 && Now >= m_NextVmRefreshAt) {
     m_NextVmRefreshAt = Now + VmRefreshInterval;
     m_Platform.m_Adapter->refreshVms();
   }
 }
 
-void RoutedNode::copyStateFromPeer(TimePoint Now) {
-  const auto Source = m_Fleet.selectNewerStateSource();
-  PlatformAdapter &Adapter = *m_Platform.m_Adapter;
-  const bool HasCurrentWatch = Adapter.isWatching() && Adapter.isCurrent();
-  if (!m_CopySchedule.startIfDue(Source.has_value(), HasCurrentWatch, Now))
-    return;
-  logEvent(Event::StateCopyAsked, "from={} config={} targets={} watching={}",
-           Source->m_Address, Source->m_Version.m_Config,
-           Source->m_Version.m_Targets, Adapter.isWatching());
-  const bool IsSent = m_StateFetcher.fetch(
-      Source->m_Address, fmt::format("{}?{}", StatePath, Adapter.stateQuery()),
-      m_CopySchedule.timeout(),
-      [this, Address = Source->m_Address, Now](const PeerReply &Reply) {
-        onStateCopy(Address, Reply, Clock::now() - Now);
-      });
-  if (!IsSent)
-    onStateCopy(Source->m_Address, {.m_Error = Errc::ConnectFailed}, {});
-}
-
-void RoutedNode::onStateCopy(const std::string &Address, const PeerReply &Reply,
-                             Duration Elapsed) {
-  m_CopySchedule.onEnded();
-  ++(Reply.isOk() ? m_CopyCounters.m_Complete : m_CopyCounters.m_Failed);
-  logEvent(Event::StateCopyEnded, "from={} status={} error={} bytes={} ms={}",
-           Address, Reply.m_Status,
-           Reply.m_Error ? Reply.m_Error.message() : "none",
-           Reply.m_Body.size(),
-           std::chrono::duration_cast<milliseconds>(Elapsed).count());
-  if (!Reply.isOk()) {
-    m_Fleet.removeStateSource(Address);
-    return;
-  }
-  m_Platform.m_Adapter->importState(Reply.m_Body);
-  onFleetChange();
-}
-
-HttpResponse RoutedNode::serveStateCopy(const HttpRequest &Request) {
-  const TimePoint Start = Clock::now();
-  HttpResponse Response{.m_Body =
-                            m_Platform.m_Adapter->exportState(Request.m_Query)};
-  const Duration RenderTime = Clock::now() - Start;
-  ++m_CopyCounters.m_Served;
-  m_CopyCounters.m_ServedBytes += Response.m_Body.size();
-  m_CopyCounters.m_RenderTime += RenderTime;
-  logEvent(Event::StateCopyServed, "bytes={} render_us={} pending={}",
-           Response.m_Body.size(),
-           std::chrono::duration_cast<microseconds>(RenderTime).count(),
-           m_ControlServer->pendingRequests());
-  return Response;
-}
-
 // Periodic work.
 
 void RoutedNode::onTick() {
@@ -382,8 +331,8 @@
 }
 
 HttpResponse RoutedNode::serveControl(const HttpRequest &Request) {
-  if (Request.m_Path == StatePath)
-    return serveStateCopy(Request);
+  if (Request.m_Path == StateCopier::StatePath)
+    return m_StateCopier.serve(Request, m_ControlServer->pendingRequests());
   if (Request.m_Path == StatusPath)
     return {.m_Body = statusText()};
   if (Request.m_Path == MetricsPath)
@@ -434,12 +383,15 @@
   Add("platform_calls_total{kind=\"watch\"}", Calls.m_Watches);
   Add("platform_calls_total{kind=\"write\"}", Calls.m_Writes);
   Add("platform_failures_total", Calls.m_Failures);
-  Add("state_copies_total{outcome=\"complete\"}", m_CopyCounters.m_Complete);
-  Add("state_copies_total{outcome=\"failed\"}", m_CopyCounters.m_Failed);
-  Add("state_copies_served_total", m_CopyCounters.m_Served);
-  Add("state_copies_served_bytes_total", m_CopyCounters.m_ServedBytes);
+  const StateCopyCounters &Copies = m_StateCopier.counters();
+  Add("state_copies_total{outcome=\"complete\"}", Copies.m_Complete);
+  Add("state_copies_total{outcome=\"failed\"}", Copies.m_Failed);
+  Add("state_reads_instead_of_copies_total", Copies.m_StoreReads);
+  Add("state_copies_served_total", Copies.m_Served);
+  Add("state_copies_deferred_total", Copies.m_Deferred);
+  Add("state_copies_served_bytes_total", Copies.m_ServedBytes);
   Add("state_copies_render_seconds_total",
-      std::chrono::duration<double>(m_CopyCounters.m_RenderTime).count());
+      std::chrono::duration<double>(Copies.m_RenderTime).count());
   Add("vms_alive", m_Fleet.countAlivePeers(Now) + 1);
   Add("targets", m_Context.registry().size());
   Add("target_connections", m_Context.connectionPools().connections());
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -11,14 +11,13 @@
 #include "coordination/DirectoryPolicy.h"
 #include "coordination/DrainSequence.h"
 #include "coordination/FleetView.h"
-#include "coordination/StateCopySchedule.h"
 #include "node/GossipSocket.h"
 #include "node/PlatformAdapter.h"
 #include "node/RoutedContext.h"
 #include "node/RoutedFrontend.h"
+#include "node/StateCopier.h"
 #include "protocol/RoutedSettings.h"
 #include "transport/HttpServer.h"
-#include "transport/PeerFetcher.h"
 #include "transport/WorkerPool.h"
 
 #include <functional>
@@ -42,15 +41,6 @@
       m_Directory;
 };
 
-/** Counts of copies of the state between VMs. */
-struct StateCopyCounters {
-  std::uint64_t m_Complete = 0; ///< Requested from other VMs, and received.
-  std::uint64_t m_Failed = 0;   ///< Requested from other VMs in vain.
-  std::uint64_t m_Served = 0;   ///< Rendered for other VMs.
-  std::uint64_t m_ServedBytes = 0;
-  Duration m_RenderTime{}; ///< Sum over the copies served.
-};
-
 /** One VM. Created and used on its worker. */
 class RoutedNode final : public PlatformListener {
 public:
@@ -82,10 +72,6 @@
   void handleRegistryChange(const RegistryChange &Change,
                             std::string_view Cause);
   void onFleetChange();
-  void copyStateFromPeer(TimePoint Now);
-  void onStateCopy(const std::string &Address, const PeerReply &Reply,
-                   Duration Elapsed);
-  HttpResponse serveStateCopy(const HttpRequest &Request);
   void onTick();
   void advanceDrain();
   HttpResponse serveControl(const HttpRequest &Request);
@@ -106,9 +92,7 @@
   ServerPtr m_DirectoryServer;
   ServerPtr m_ControlServer;
   ServerPtr m_MetricsServer;
-  PeerFetcher m_StateFetcher;
-  StateCopySchedule m_CopySchedule{{}};
-  StateCopyCounters m_CopyCounters;
+  StateCopier m_StateCopier;
   bool m_HasTargets = false;
   bool m_WasReady = false;
   TimePoint m_StartedAt;
--- /dev/null
+++ b/src/node/StateCopier.cpp
@@ -0,0 +1,111 @@
+#include "node/StateCopier.h"
+
+#include "state/Errc.h"
+#include "state/Event.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace figturn {
+
+namespace {
+
+constexpr unsigned StatusServiceUnavailable = 503;
+
+CopyOutcome copyOutcome(const PeerReply &Reply) {
+  if (Reply.isOk())
+    return CopyOutcome::Complete;
+  return Reply.m_Status == StatusServiceUnavailable ? CopyOutcome::Deferred
+                                                    : CopyOutcome::Failed;
+}
+
+} // namespace
+
+StateCopier::StateCopier(PlatformAdapter &Adapter, FleetView &Fleet,
+                         std::function<void()> OnImported)
+    : m_Adapter(Adapter), m_Fleet(Fleet), m_OnImported(std::move(OnImported)),
+      m_Copies{{{.m_Part = StatePart::Registry,
+                 .m_Schedule = StateCopySchedule(registryCopyOptions())},
+                {.m_Part = StatePart::Config,
+                 .m_Schedule = StateCopySchedule(configCopyOptions())}}} {}
+
+void StateCopier::requestCopies(TimePoint Now) {
+  const bool HasCurrentWatch = m_Adapter.isWatching() && m_Adapter.isCurrent();
+  for (PartCopy &Each : m_Copies) {
+    const auto Source = m_Fleet.selectNewerStateSource(Each.m_Part);
+    switch (Each.m_Schedule.next(Source.has_value(), HasCurrentWatch, Now)) {
+    case CopyStep::None:
+      break;
+    case CopyStep::AskPeer:
+      requestCopy(Each, *Source, Now);
+      break;
+    case CopyStep::ReadStore:
+      ++m_Counters.m_StoreReads;
+      logEvent(Event::StateReadFromStore, "part={}",
+               statePartName(Each.m_Part));
+      m_Adapter.readState(Each.m_Part);
+      break;
+    }
+  }
+}
+
+void StateCopier::requestCopy(PartCopy &Copy, const StateSource &Source,
+                              TimePoint Now) {
+  logEvent(
+      Event::StateCopyAsked, "part={} from={} config={} targets={} watching={}",
+      statePartName(Copy.m_Part), Source.m_Address, Source.m_Version.m_Config,
+      Source.m_Version.m_Targets, m_Adapter.isWatching());
+  const bool IsSent = Copy.m_Fetcher.fetch(
+      Source.m_Address,
+      fmt::format("{}?{}", StatePath, m_Adapter.stateQuery(Copy.m_Part)),
+      Copy.m_Schedule.timeout(),
+      [this, &Copy, Address = Source.m_Address, Now](const PeerReply &Reply) {
+        onReply(Copy, Address, Reply, Now);
+      });
+  if (!IsSent)
+    onReply(Copy, Source.m_Address, {.m_Error = Errc::ConnectFailed}, Now);
+}
+
+void StateCopier::onReply(PartCopy &Copy, const std::string &Address,
+                          const PeerReply &Reply, TimePoint RequestedAt) {
+  const TimePoint Now = Clock::now();
+  const CopyOutcome Outcome = copyOutcome(Reply);
+  ++(Reply.isOk() ? m_Counters.m_Complete : m_Counters.m_Failed);
+  logEvent(Event::StateCopyEnded,
+           "part={} from={} status={} error={} bytes={} ms={}",
+           statePartName(Copy.m_Part), Address, Reply.m_Status,
+           Reply.m_Error ? Reply.m_Error.message() : "none",
+           Reply.m_Body.size(),
+           std::chrono::duration_cast<milliseconds>(Now - RequestedAt).count());
+  Copy.m_Schedule.onEnded(Outcome, Now);
+  if (Outcome == CopyOutcome::Failed)
+    m_Fleet.removeStateSource(Address);
+  if (Outcome != CopyOutcome::Complete)
+    return;
+  m_Adapter.importState(Reply.m_Body);
+  m_OnImported();
+}
+
+HttpResponse StateCopier::serve(const HttpRequest &Request,
+                                std::size_t PendingAnswers) {
+  const TimePoint Start = Clock::now();
+  HttpResponse Response{.m_Body = m_Adapter.exportState(Request.m_Query)};
+  const Duration RenderTime = Clock::now() - Start;
+  m_Counters.m_RenderTime += RenderTime;
+  const std::size_t Bytes = Response.m_Body.size();
+  const bool IsSent = maySendCopy(Bytes, PendingAnswers);
+  if (IsSent) {
+    ++m_Counters.m_Served;
+    m_Counters.m_ServedBytes += Bytes;
+  } else {
+    ++m_Counters.m_Deferred;
+    Response = {.m_Status = StatusServiceUnavailable};
+  }
+  logEvent(Event::StateCopyServed,
+           "bytes={} sent={} render_us={} pending={} query={}", Bytes, IsSent,
+           std::chrono::duration_cast<microseconds>(RenderTime).count(),
+           PendingAnswers, Request.m_Query);
+  return Response;
+}
+
+} // namespace figturn
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -228,11 +228,12 @@
   runRounds(5); // 2 s of the 5 s within which changes must take effect.
   std::size_t Informed = 0;
   for (std::size_t I = 0; I < m_Vms.size(); ++I)
-    Informed += m_Vms[I]->selectNewerStateSource().has_value() ? 1 : 0;
+    Informed +=
+        m_Vms[I]->selectNewerStateSource(StatePart::Config).has_value() ? 1 : 0;
   BOOST_TEST(Informed == 125U);
-  BOOST_TEST(!m_Vms[9]->selectNewerStateSource());
+  BOOST_TEST(!m_Vms[9]->selectNewerStateSource(StatePart::Config));
   m_Vms[3]->setState({.m_Config = 40, .m_Targets = 41}, true);
-  BOOST_TEST(!m_Vms[3]->selectNewerStateSource());
+  BOOST_TEST(!m_Vms[3]->selectNewerStateSource(StatePart::Config));
 }
 
 BOOST_AUTO_TEST_CASE(Request_crashingTargets_isQuarantinedEverywhereInTime) {
--- a/test/correctness/StateSpreadReplayTest.cpp
+++ b/test/correctness/StateSpreadReplayTest.cpp
@@ -11,6 +11,7 @@
 #include "support/RoutedFleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 using namespace figturn;
 using namespace figturn::platform;
@@ -24,15 +25,25 @@
 constexpr milliseconds DrainBound{5000};
 constexpr milliseconds ConfigBound{5000};
 
+/** A word that compresses as badly as the names of real routes. */
+QString randomWord(std::minstd_rand &Random) {
+  QString Word;
+  for (int I = 0; I < 8; ++I)
+    Word += QChar(u'a' + static_cast<char16_t>(Random() % 26));
+  return Word;
+}
+
 /** A configuration with \p RouteCount routes besides those of
  *  routedConfig(). */
 QJsonObject largeConfig(int Version, int RouteCount) {
   QJsonObject Config = routedConfig(Version);
   QJsonArray Routes = Config["routes"].toArray();
   QJsonObject Route = Routes[1].toObject();
+  std::minstd_rand Random(1);
   for (int I = 0; I < RouteCount; ++I) {
-    Route["name"] = QStringLiteral("route-%1").arg(I);
-    Route["path_prefix"] = QStringLiteral("/%1/").arg(I * 2654435761U);
+    Route["name"] = "r-" + randomWord(Random);
+    Route["host"] = randomWord(Random) + ".example";
+    Route["path_prefix"] = "/" + randomWord(Random) + "/";
     Routes.append(Route);
   }
   Config["routes"] = Routes;
@@ -79,20 +90,22 @@
              m_Store.m_RequestCounts["watch servers"] == 1 &&
              m_Store.m_RequestCounts["watch config"] == 1;
     });
-    const std::string Initial = m_Synchronizer->stateQuery();
+    const std::string Initial = m_Synchronizer->stateQuery(StatePart::Registry);
     change(&StateVersion::m_Targets, [&] {
       m_Store.put("servers", "i-1", m_Searcher.entry("draining"));
     });
-    m_RegistryBytes = m_Synchronizer->exportState(Initial).size();
-    const std::string BeforeGrowth = m_Synchronizer->stateQuery();
+    m_RegistryBytes = copyBytes(Initial);
+    const std::string BeforeGrowth =
+        m_Synchronizer->stateQuery(StatePart::Config);
     change(&StateVersion::m_Config,
            [&] { m_Store.put("config", "main", largeConfig(2, 4200)); });
-    m_GrowthBytes = m_Synchronizer->exportState(BeforeGrowth).size();
-    const std::string BeforeRoute = m_Synchronizer->stateQuery();
+    m_GrowthBytes = copyBytes(BeforeGrowth);
+    const std::string BeforeRoute =
+        m_Synchronizer->stateQuery(StatePart::Config);
     change(&StateVersion::m_Config, [&] {
       m_Store.put("config", "main", withChangedRoute(largeConfig(3, 4200), 3));
     });
-    m_RouteBytes = m_Synchronizer->exportState(BeforeRoute).size();
+    m_RouteBytes = copyBytes(BeforeRoute);
   }
   ~Fixture() {
     m_Synchronizer.reset();
@@ -107,19 +120,22 @@
         [&] { return m_Synchronizer->stateVersion().*Part > Before; });
   }
 
-  std::size_t copyBytes(const StateVersion &Have, const StateVersion &Offered) {
-    std::size_t Bytes = 0;
-    if (Offered.m_Targets > Have.m_Targets)
-      Bytes += m_RegistryBytes;
-    if (Offered.m_Config > Have.m_Config)
-      Bytes += Have.m_Config < Growth ? m_GrowthBytes : m_RouteBytes;
-    return Bytes;
+  /** Bytes of the copy that answers \p Query, as they are sent. */
+  std::size_t copyBytes(const std::string &Query) const {
+    return m_Synchronizer->exportState(Query).size();
+  }
+
+  std::size_t copyBytes(StatePart Part, const StateVersion &Have,
+                        const StateVersion &Offered) const {
+    if (Part == StatePart::Registry || Offered.m_Config == Have.m_Config)
+      return m_RegistryBytes;
+    return Have.m_Config < Growth ? m_GrowthBytes : m_RouteBytes;
   }
 
   StateSpreadOptions options() {
-    return {.m_CopyBytes = [this](const StateVersion &Have,
+    return {.m_CopyBytes = [this](StatePart Part, const StateVersion &Have,
                                   const StateVersion &Offered) {
-      return copyBytes(Have, Offered);
+      return copyBytes(Part, Have, Offered);
     }};
   }
 
@@ -148,7 +164,10 @@
   Replay.run(milliseconds(3100)); // Until the store acknowledges the growth.
   Replay.change({.m_Config = RouteChange});
   Replay.run(ConfigBound);
-  BOOST_TEST_MESSAGE("aborted transfers: " << Replay.abortedTransfers());
+  BOOST_TEST_MESSAGE("bytes: " << m_RegistryBytes << ", " << m_GrowthBytes
+                               << ", " << m_RouteBytes
+                               << "; aborted: " << Replay.abortedTransfers()
+                               << "; store reads: " << Replay.storeReads());
   BOOST_TEST(Replay.countBehind(&StateVersion::m_Config, RouteChange) == 0U);
 }
 
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -80,6 +80,11 @@
   std::unique_ptr<StateSynchronizer> m_Synchronizer;
 };
 
+bool isNewerAnywhere(const StateVersion &Left, const StateVersion &Right) {
+  return Left.isNewer(StatePart::Registry, Right) ||
+         Left.isNewer(StatePart::Config, Right);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(StateSynchronizerTest, Fixture)
@@ -211,7 +216,7 @@
   for (int I = 2; I <= 40; ++I)
     m_Store->put("servers", "i-" + std::to_string(I), m_Searcher->entry());
   startAndSettle();
-  const std::string Before = m_Synchronizer->stateQuery();
+  const std::string Before = m_Synchronizer->stateQuery(StatePart::Registry);
   BOOST_TEST(m_Synchronizer->exportState(Before).find("10.0") ==
              std::string::npos);
   m_Store->put("servers", "i-5", m_Searcher->entry("draining"));
@@ -241,13 +246,15 @@
   m_Store->put("config", "main", routedConfig(5));
   processEventsUntil([&] { return m_Recorder.m_Versions.size() == 2; });
   processEventsUntil([&] {
-    return m_Synchronizer->stateVersion().hasNewerPartThan(
-        Follower.stateVersion());
+    return isNewerAnywhere(m_Synchronizer->stateVersion(),
+                           Follower.stateVersion());
   });
-  Follower.importState(m_Synchronizer->exportState(Follower.stateQuery()));
+  for (const StatePart Each : {StatePart::Registry, StatePart::Config})
+    Follower.importState(
+        m_Synchronizer->exportState(Follower.stateQuery(Each)));
   BOOST_TEST(FollowerRecorder.m_Versions.back() == 5U);
-  BOOST_TEST(!m_Synchronizer->stateVersion().hasNewerPartThan(
-      Follower.stateVersion()));
+  BOOST_TEST(!isNewerAnywhere(m_Synchronizer->stateVersion(),
+                              Follower.stateVersion()));
   BOOST_TEST(m_Store->m_RequestCounts["watch servers"] >= Watches);
   Follower.stop();
 }
--- a/test/support/StateSpreadReplay.h
+++ b/test/support/StateSpreadReplay.h
@@ -6,7 +6,8 @@
  * a large fleet: a few VMs watch the store, the others learn by gossip that a
  * peer has newer state and copy it. Links are slow and shared by all transfers
  * of a VM; a transfer that exceeds its timeout is aborted and its bytes are
- * lost.
+ * lost. Reading from the store instead of a peer has no effect, so that the
+ * peers have to suffice.
  */
 
 #include "coordination/FleetView.h"
@@ -14,6 +15,7 @@
 #include "support/RoutedTargets.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <functional>
 #include <map>
@@ -28,8 +30,9 @@
   std::size_t m_WatcherCount = 12;
   std::size_t m_DataCentreCount = 4;
   double m_LinkBytesPerSecond = 14e6 / 8;
-  /** Bytes of a copy for a VM that has \p Have from one that has \p Offered. */
-  std::function<std::size_t(const StateVersion &Have,
+  /** Bytes of a copy of a part for a VM that has \p Have from one that has
+   *  \p Offered. */
+  std::function<std::size_t(StatePart, const StateVersion &Have,
                             const StateVersion &Offered)>
       m_CopyBytes;
 };
@@ -72,6 +75,8 @@
   }
 
   std::size_t abortedTransfers() const { return m_AbortedTransfers; }
+  /** Number of times that a VM would have read from the store. */
+  std::size_t storeReads() const { return m_StoreReads; }
 
 private:
   static constexpr Duration Step = milliseconds(10);
@@ -85,6 +90,12 @@
     StateVersion m_Version; ///< Of the source when it was requested.
   };
 
+  struct PartCopy {
+    StatePart m_Part;
+    StateCopySchedule m_Schedule;
+    std::optional<Transfer> m_Transfer;
+  };
+
   struct Vm {
     Vm(VmRecord Record, std::uint32_t Seed)
         : m_Fleet(std::move(Record), {"g-0", "g-1"}, {}, Seed),
@@ -98,8 +109,9 @@
     Duration m_TickOffset;
     bool m_IsWatcher = false;
     StateVersion m_Version{.m_Config = 1, .m_Targets = 1, .m_Evacuations = 1};
-    StateCopySchedule m_Schedule{{}};
-    std::optional<Transfer> m_Transfer;
+    std::array<PartCopy, 2> m_Copies{
+        {{StatePart::Registry, StateCopySchedule(registryCopyOptions()), {}},
+         {StatePart::Config, StateCopySchedule(configCopyOptions()), {}}}};
   };
 
   VmRecord makeRecord(std::size_t Index) const {
@@ -142,53 +154,81 @@
   }
 
   void requestCopies(Vm &Requester) {
-    const auto Source = Requester.m_Fleet.selectNewerStateSource();
-    if (!Requester.m_Schedule.startIfDue(Source.has_value(),
-                                         Requester.m_IsWatcher, m_Now))
+    for (PartCopy &Each : Requester.m_Copies) {
+      const auto Source = Requester.m_Fleet.selectNewerStateSource(Each.m_Part);
+      const CopyStep Next = Each.m_Schedule.next(Source.has_value(),
+                                                 Requester.m_IsWatcher, m_Now);
+      if (Next == CopyStep::ReadStore)
+        ++m_StoreReads;
+      if (Next == CopyStep::AskPeer)
+        requestCopy(Requester, Each, indexOf(Source->m_Address));
+    }
+  }
+
+  void requestCopy(Vm &Requester, PartCopy &Copy, std::size_t Source) {
+    const StateVersion &Offered = m_Vms[Source].m_Version;
+    const std::size_t Bytes =
+        m_Options.m_CopyBytes(Copy.m_Part, Requester.m_Version, Offered);
+    if (!maySendCopy(Bytes, countTransfers()[Source] + 1)) {
+      Copy.m_Schedule.onEnded(CopyOutcome::Deferred, m_Now);
       return;
-    const std::size_t Index = indexOf(Source->m_Address);
-    const StateVersion &Offered = m_Vms[Index].m_Version;
-    Requester.m_Transfer = {
-        .m_Source = Index,
-        .m_BytesLeft = static_cast<double>(
-            m_Options.m_CopyBytes(Requester.m_Version, Offered)),
-        .m_Deadline = m_Now + Requester.m_Schedule.timeout(),
-        .m_Version = Offered};
+    }
+    Copy.m_Transfer = {.m_Source = Source,
+                       .m_BytesLeft = static_cast<double>(Bytes),
+                       .m_Deadline = m_Now + Copy.m_Schedule.timeout(),
+                       .m_Version = Offered};
   }
 
-  void transfer() {
-    std::map<std::size_t, int> Outgoing;
+  /** Transfers on their way, by source. */
+  std::map<std::size_t, std::size_t> countTransfers() const {
+    std::map<std::size_t, std::size_t> Outgoing;
     for (const Vm &Each : m_Vms)
-      if (Each.m_Transfer)
-        ++Outgoing[Each.m_Transfer->m_Source];
+      for (const PartCopy &Copy : Each.m_Copies)
+        if (Copy.m_Transfer)
+          ++Outgoing[Copy.m_Transfer->m_Source];
+    return Outgoing;
+  }
+
+  void transfer() {
+    auto Outgoing = countTransfers();
     const double BytesPerStep = m_Options.m_LinkBytesPerSecond *
                                 std::chrono::duration<double>(Step).count();
     for (Vm &Each : m_Vms)
-      if (Each.m_Transfer)
-        advance(Each, BytesPerStep / Outgoing[Each.m_Transfer->m_Source]);
+      for (PartCopy &Copy : Each.m_Copies)
+        if (Copy.m_Transfer)
+          advance(Each, Copy,
+                  BytesPerStep /
+                      static_cast<double>(Outgoing[Copy.m_Transfer->m_Source]));
   }
 
-  void advance(Vm &Requester, double Bytes) {
-    Transfer &Current = *Requester.m_Transfer;
+  void advance(Vm &Requester, PartCopy &Copy, double Bytes) {
+    Transfer &Current = *Copy.m_Transfer;
     Current.m_BytesLeft -= Bytes;
     const bool IsComplete = Current.m_BytesLeft <= 0;
     if (!IsComplete && m_Now < Current.m_Deadline)
       return;
     if (IsComplete) {
-      setVersion(Requester, Current.m_Version);
+      const bool IsConfig = Copy.m_Part == StatePart::Config;
+      setVersion(
+          Requester,
+          {.m_Config = IsConfig ? Current.m_Version.m_Config : 0,
+           .m_Targets = IsConfig ? 0 : Current.m_Version.m_Targets,
+           .m_Evacuations = IsConfig ? 0 : Current.m_Version.m_Evacuations});
     } else {
       ++m_AbortedTransfers;
       Requester.m_Fleet.removeStateSource(
           fmt::format("s-{}", Current.m_Source));
     }
-    Requester.m_Schedule.onEnded();
-    Requester.m_Transfer.reset();
+    Copy.m_Schedule.onEnded(
+        IsComplete ? CopyOutcome::Complete : CopyOutcome::Failed, m_Now);
+    Copy.m_Transfer.reset();
   }
 
   StateSpreadOptions m_Options;
   std::vector<Vm> m_Vms;
   TimePoint m_Now = Start;
   std::size_t m_AbortedTransfers = 0;
+  std::size_t m_StoreReads = 0;
 };
 
 } // namespace figturn::test
