Copy only what changed of the configuration between VMs

With more than a few requests at once no copy was complete in time; all were aborted, the bytes sent were lost, and the next requests took their place: congestion collapse by retries of whole transfers under a fixed timeout.

The whole configuration is sent only to VMs whose version the source never had. Copies are compressed, and rendered once for all VMs that ask the same. VMs of the release before get copies as before.

--- a/src/node/StateCopier.cpp
+++ b/src/node/StateCopier.cpp
@@ -1,5 +1,6 @@
 #include "node/StateCopier.h"
 
+#include "protocol/Compression.h"
 #include "state/Errc.h"
 #include "state/Event.h"
 
@@ -12,6 +13,16 @@
 
 constexpr unsigned StatusServiceUnavailable = 503;
 
+/** In queries of VMs that read compressed copies. */
+constexpr const char *CompressedParameter = "compressed=1";
+
+/** Bound for the unpacked size of a copy: several times that of the largest
+ *  object that a platform holds. */
+constexpr std::size_t MaxCopyBytes = 16 * 1024 * 1024;
+
+/** Bound for the number of copies kept rendered. */
+constexpr std::size_t MaxRenderedCopies = 16;
+
 CopyOutcome copyOutcome(const PeerReply &Reply) {
   if (Reply.isOk())
     return CopyOutcome::Complete;
@@ -57,7 +68,8 @@
       Source.m_Version.m_Targets, m_Adapter.isWatching());
   const bool IsSent = Copy.m_Fetcher.fetch(
       Source.m_Address,
-      fmt::format("{}?{}", StatePath, m_Adapter.stateQuery(Copy.m_Part)),
+      fmt::format("{}?{}&{}", StatePath, m_Adapter.stateQuery(Copy.m_Part),
+                  CompressedParameter),
       Copy.m_Schedule.timeout(),
       [this, &Copy, Address = Source.m_Address, Now](const PeerReply &Reply) {
         onReply(Copy, Address, Reply, Now);
@@ -82,14 +94,32 @@
     m_Fleet.removeStateSource(Address);
   if (Outcome != CopyOutcome::Complete)
     return;
-  m_Adapter.importState(Reply.m_Body);
+  // VMs of earlier releases send copies that are not compressed.
+  const auto State = decompress(Reply.m_Body, MaxCopyBytes);
+  m_Adapter.importState(State ? *State : Reply.m_Body);
   m_OnImported();
 }
 
+const std::string &StateCopier::render(const std::string &Query) {
+  if (m_RenderedVersion != m_Adapter.stateVersion() ||
+      m_Rendered.size() >= MaxRenderedCopies) {
+    m_Rendered.clear();
+    m_RenderedVersion = m_Adapter.stateVersion();
+  }
+  const auto [Found, IsNew] = m_Rendered.try_emplace(Query);
+  if (IsNew) {
+    Found->second = m_Adapter.exportState(Query);
+    if (Query.find(CompressedParameter) != std::string::npos)
+      Found->second = compress(Found->second);
+  }
+  return Found->second;
+}
+
 HttpResponse StateCopier::serve(const HttpRequest &Request,
                                 std::size_t PendingAnswers) {
   const TimePoint Start = Clock::now();
-  HttpResponse Response{.m_Body = m_Adapter.exportState(Request.m_Query)};
+  HttpResponse Response{.m_Body = render(Request.m_Query),
+                        .m_ContentType = "application/octet-stream"};
   const Duration RenderTime = Clock::now() - Start;
   m_Counters.m_RenderTime += RenderTime;
   const std::size_t Bytes = Response.m_Body.size();
--- a/src/node/StateCopier.h
+++ b/src/node/StateCopier.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -61,11 +62,17 @@
   void onReply(PartCopy &Copy, const std::string &Address,
                const PeerReply &Reply, TimePoint RequestedAt);
 
+  const std::string &render(const std::string &Query);
+
   PlatformAdapter &m_Adapter;
   FleetView &m_Fleet;
   std::function<void()> m_OnImported;
   std::array<PartCopy, 2> m_Copies;
   StateCopyCounters m_Counters;
+  /** Copies by the query that they answer, and the version that they are of.
+   *  VMs that are behind ask for the same few. */
+  std::map<std::string, std::string> m_Rendered;
+  StateVersion m_RenderedVersion;
 };
 
 } // namespace figturn
--- a/test/correctness/StateSpreadReplayTest.cpp
+++ b/test/correctness/StateSpreadReplayTest.cpp
@@ -6,6 +6,7 @@
 
 #include "support/StateSpreadReplay.h"
 #include "platform/StateSynchronizer.h"
+#include "protocol/Compression.h"
 #include "standin/RoutedStandins.h"
 #include "support/FakeTarget.h"
 #include "support/RoutedFleet.h"
@@ -122,7 +123,7 @@
 
   /** Bytes of the copy that answers \p Query, as they are sent. */
   std::size_t copyBytes(const std::string &Query) const {
-    return m_Synchronizer->exportState(Query).size();
+    return compress(m_Synchronizer->exportState(Query)).size();
   }
 
   std::size_t copyBytes(StatePart Part, const StateVersion &Have,
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -259,6 +259,59 @@
   Follower.stop();
 }
 
+BOOST_AUTO_TEST_CASE(ConfigCopy_afterOneChange_holdsOnlyThatRoute) {
+  startAndSettle();
+  const std::string Before = m_Synchronizer->stateQuery(StatePart::Config);
+  QJsonObject Changed = routedConfig(5);
+  QJsonArray Routes = Changed["routes"].toArray();
+  QJsonObject Route = Routes[1].toObject();
+  Route["service"] = "s-0";
+  Routes[1] = Route;
+  Changed["routes"] = Routes;
+  m_Store->put("config", "main", Changed);
+  processEventsUntil([&] { return m_Recorder.m_Versions.size() == 2; });
+  const std::string Copy = m_Synchronizer->exportState(Before);
+  BOOST_TEST(Copy.find("/look/") != std::string::npos);
+  BOOST_TEST(Copy.find("/search/") == std::string::npos);
+  BOOST_TEST(Copy.find("\"targets\"") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigCopy_ofUnknownVersion_isRequestedAgainInFull) {
+  startAndSettle();
+  const std::string Other =
+      toCompactJson({{"configRevision", 1000},
+                     {"configChanges", QJsonObject{{"base", 2},
+                                                   {"fields", QJsonObject{}},
+                                                   {"changed", QJsonArray{}},
+                                                   {"removed", QJsonArray{}},
+                                                   {"count", 3}}}});
+  m_Synchronizer->importState(Other);
+  BOOST_TEST(m_Recorder.m_Versions.size() == 1U);
+  BOOST_TEST(m_Synchronizer->stateVersion().m_Config < 1000U);
+  const std::string Query = m_Synchronizer->stateQuery(StatePart::Config);
+  BOOST_TEST(Query.find("configVersion=0") != std::string::npos);
+  m_Synchronizer->importState(
+      toCompactJson({{"configRevision", 1000}, {"config", routedConfig(8)}}));
+  BOOST_TEST(m_Recorder.m_Versions.back() == 8U);
+  BOOST_TEST(
+      m_Synchronizer->stateQuery(StatePart::Config).find("configVersion=8") !=
+      std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(State_readByFollower_isListedOnceAndNotWatched) {
+  startAndSettle();
+  m_Synchronizer->setRole(StoreRole::Follower);
+  m_Store->put("config", "main", routedConfig(5)); // Ends the last watch.
+  processEventsUntil([&] { return m_Recorder.m_Versions.size() == 2; });
+  const int Watches = m_Store->m_RequestCounts["watch config"];
+  m_Store->put("config", "main", routedConfig(6));
+  m_Synchronizer->readState(StatePart::Config);
+  processEventsUntil([&] { return m_Recorder.m_Versions.size() == 3; });
+  BOOST_TEST(m_Recorder.m_Versions.back() == 6U);
+  BOOST_TEST(m_Store->m_RequestCounts["list config"] == 2);
+  BOOST_TEST(m_Store->m_RequestCounts["watch config"] == Watches);
+}
+
 BOOST_AUTO_TEST_CASE(Copy_withChangesWhileStoreIsDown_isImported) {
   startAndSettle();
   m_Store->m_IsDown = true;
