Show the limits that targets name in their replies

A target can name the requests a second that it takes from all VMs together, and no line, metric or status shows which limits a VM has been told, so the two hypotheses on the capped targets can't be told apart.

The header is decoded at the boundary, once for each complete reply of the right target, into TargetRateLimit, which belongs to the target's process and ends with it. A reply that names no limit ends it, unless its call was sent before the limit was named last. Values that are no rate, too high or given twice are counted, logged (F0616) and leave the known limit as it is. F0615 logs each change; the status shows limit and age, the metrics the unusable ones.

No decision changes.

--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -11,6 +11,7 @@
  */
 
 #include "coordination/TargetLoad.h"
+#include "coordination/TargetRateLimit.h"
 #include "state/TargetEntry.h"
 
 #include <map>
@@ -26,6 +27,7 @@
 struct Target {
   TargetEntry m_Entry;
   TargetLoad m_Load;
+  TargetRateLimit m_RateLimit;
   /** When its entry disappeared; none while the registry lists it. */
   std::optional<TimePoint> m_MissingSince;
 
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -23,11 +23,14 @@
                              RoutedHeaders Headers, FleetView &Fleet,
                              std::uint32_t Seed)
     : m_Settings(Settings), m_Headers(std::move(Headers)), m_Fleet(Fleet),
-      m_ConnectionPools(m_Headers.m_RequestId,
-                        [this](const TargetInstance &Target,
-                               const TargetObservation &Observation) {
-                          onObservation(Target, Observation, Clock::now());
-                        }),
+      m_ConnectionPools(
+          m_Headers.m_RequestId,
+          [this](const TargetInstance &Target,
+                 const TargetObservation &Observation) {
+            onObservation(Target, Observation, Clock::now());
+          },
+          [this](Target &Source, const HttpHeaders &Headers, TimePoint SentAt,
+                 TimePoint Now) { onReply(Source, Headers, SentAt, Now); }),
       m_Chooser(ChoiceCosts{}, Seed), m_ColdStartQuota(Settings.m_Vm),
       m_RetryAfterPolicy(RetryAfterOptions{}, Seed), m_QuotaMembers{
                                                          Settings.m_Vm} {}
@@ -87,6 +90,27 @@
     recordTargetDown(Target, "refused", Now);
 }
 
+void RoutedContext::onReply(Target &Source, const HttpHeaders &ReplyHeaders,
+                            TimePoint SentAt, TimePoint Now) {
+  const NamedRateLimit Named = decodeRateLimit(ReplyHeaders, m_Headers);
+  const TargetName &Name = Source.m_Entry.m_Instance.m_Name;
+  if (Named.m_IsPresent && !Named.m_RequestsPerSecond) {
+    m_Metrics.addUnusableRateLimit();
+    logEvent(Event::TargetLimitUnusable, "target={} service={}", Name,
+             Source.m_Entry.m_Service);
+    return;
+  }
+  if (Source.m_RateLimit.onReply(
+          {.m_RequestsPerSecond = Named.m_RequestsPerSecond,
+           .m_SentAt = SentAt},
+          Now))
+    logEvent(Event::TargetLimitChanged, "target={} service={} limit={}", Name,
+             Source.m_Entry.m_Service,
+             Named.m_RequestsPerSecond
+                 ? fmt::format("{}", *Named.m_RequestsPerSecond)
+                 : "none");
+}
+
 void RoutedContext::recordTargetDown(const TargetInstance &Target,
                                      std::string_view Evidence, TimePoint Now) {
   if (m_CrashQuarantine.isEmpty())
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -87,6 +87,8 @@
                               TimePoint Now) const;
   void onObservation(const TargetInstance &Target,
                      const TargetObservation &Observation, TimePoint Now);
+  void onReply(Target &Source, const HttpHeaders &ReplyHeaders,
+               TimePoint SentAt, TimePoint Now);
   bool tryReserveColdStartQuota(const Target &Cold, TimePoint Now);
   ExtraLoadBudget &budget(const ServiceName &Service);
 
--- a/src/node/RoutedMetrics.cpp
+++ b/src/node/RoutedMetrics.cpp
@@ -114,6 +114,8 @@
       Add("call_outcomes_total",
           fmt::format("{},outcome=\"{}\"", Labels, Outcome), Count);
   }
+  Text += fmt::format("figturn_unusable_rate_limits_total {}\n",
+                      m_UnusableRateLimits);
   return Text;
 }
 
--- a/src/node/RoutedMetrics.h
+++ b/src/node/RoutedMetrics.h
@@ -67,6 +67,8 @@
   void addCall(const ServiceName &Service) { ++m_Calls[Service].m_Calls; }
   void addExtraCall(const ServiceName &Service, SendKind Kind, bool Allowed);
   void addOutcome(const ServiceName &Service, CallOutcome Outcome);
+  /** Counts a reply whose rate limit can't be read. */
+  void addUnusableRateLimit() { ++m_UnusableRateLimits; }
 
   /** All counters in the Prometheus text format. */
   std::string text() const;
@@ -74,6 +76,7 @@
 private:
   std::map<std::string, RouteCounters> m_Routes;
   std::map<ServiceName, CallCounters> m_Calls;
+  std::uint64_t m_UnusableRateLimits = 0;
 };
 
 /** Name of \p Outcome in logs and metrics, for example "lost". */
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -53,6 +53,11 @@
       .count();
 }
 
+std::uint64_t ageMillis(TimePoint Then, TimePoint Now) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(Now - Then).count());
+}
+
 VmRecord makeSelfRecord(const RoutedSettings &Settings) {
   return {.m_Vm = Settings.m_Vm,
           .m_StartedMs = unixMillis(),
@@ -350,7 +355,8 @@
                            {"phase", static_cast<int>(Vm.m_Phase)},
                            {"configVersion", toJson(Vm.m_ConfigVersion)}});
   QJsonArray Targets;
-  for (const auto &[Name, Each] : m_Context.registry().all())
+  for (const auto &[Name, Each] : m_Context.registry().all()) {
+    const auto Limit = Each->m_RateLimit.requestsPerSecond();
     Targets.append(QJsonObject{
         {"target", toQt(Name.value())},
         {"service", toQt(Each->m_Entry.m_Service.value())},
@@ -360,7 +366,12 @@
         {"cold", Each->isCold(Now)},
         {"outstanding", static_cast<int>(Each->m_Load.outstanding())},
         {"slowness", Each->m_Load.slowness(Now)},
-        {"failureShare", Each->m_Load.failureShare(Now)}});
+        {"failureShare", Each->m_Load.failureShare(Now)},
+        {"rateLimit", Limit ? QJsonValue(*Limit) : QJsonValue::Null},
+        {"rateLimitAgeMs",
+         Limit ? toJson(ageMillis(Each->m_RateLimit.confirmedAt(), Now))
+               : QJsonValue::Null}});
+  }
   return toCompactJson(
       {{"vm", toQt(m_Settings.m_Vm.value())},
        {"ready", isReady()},
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -117,7 +117,7 @@
              .m_SerializeRequest = std::move(Call.m_SerializeRequest),
              .m_RequestId = std::move(Call.m_RequestId),
              .m_IsHead = Call.m_IsHead},
-            [IsAlive = m_IsAlive, Destination, Id, TypicalLatency,
+            [this, IsAlive = m_IsAlive, Destination, Id, TypicalLatency,
              Classify = std::move(Classify),
              OnResult = std::move(OnResult)](TargetResult Result) {
               if (!*IsAlive)
@@ -125,9 +125,14 @@
               const CallOutcome Outcome =
                   Result.m_Error ? toCallOutcome(Result)
                                  : Classify(Result.m_Status, Result.m_Headers);
+              const TimePoint Now = Clock::now();
               Destination->m_Load.end(
                   Id.value(), Outcome,
-                  latencyRatio(Result.m_Latency, TypicalLatency), Clock::now());
+                  latencyRatio(Result.m_Latency, TypicalLatency), Now);
+              // A misdirected call was answered by another target.
+              if (!Result.m_Error && Outcome != CallOutcome::Misdirected)
+                m_OnReply(*Destination, Result.m_Headers,
+                          Now - Result.m_Latency, Now);
               OnResult({.m_Outcome = Outcome,
                         .m_Status = Result.m_Status,
                         .m_Headers = std::move(Result.m_Headers),
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -54,10 +54,16 @@
   using ObservationHandler =
       std::function<void(const TargetInstance &, const TargetObservation &)>;
 
+  /** Receives each complete reply of a target to a call sent at \p SentAt,
+   *  before the call's result handler. */
+  using ReplyHandler = std::function<void(Target &, const HttpHeaders &,
+                                          TimePoint SentAt, TimePoint Now)>;
+
   TargetConnectionPools(std::string RequestIdHeader,
-                        ObservationHandler OnObservation)
+                        ObservationHandler OnObservation, ReplyHandler OnReply)
       : m_RequestIdHeader(std::move(RequestIdHeader)),
-        m_OnObservation(std::move(OnObservation)) {}
+        m_OnObservation(std::move(OnObservation)),
+        m_OnReply(std::move(OnReply)) {}
 
   /** Outstanding calls get no result, because their owners are being destroyed
    *  too. */
@@ -94,6 +100,7 @@
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
   std::string m_RequestIdHeader;
   ObservationHandler m_OnObservation;
+  ReplyHandler m_OnReply;
   CallIdAllocator m_CallIds{CallId(1)};
   std::map<TargetInstance, std::unique_ptr<TargetPool>> m_Pools;
   std::map<TargetInstance, ServiceName> m_Services;
--- a/src/protocol/RoutedProtocol.cpp
+++ b/src/protocol/RoutedProtocol.cpp
@@ -36,6 +36,19 @@
   return milliseconds(Value);
 }
 
+/** Higher limits are treated as invalid. */
+constexpr double MaxRequestsPerSecond = 1e6;
+
+std::optional<double> parseRequestsPerSecond(const std::string &Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  const bool IsRate = Parsed.ec == std::errc() && Parsed.ptr == End &&
+                      Value >= 0 && Value <= MaxRequestsPerSecond;
+  return IsRate ? std::optional(Value) : std::nullopt;
+}
+
 /** Whether \p Name is one of the comma-separated tokens of \p List. */
 bool containsToken(std::string_view List, std::string_view Name) {
   while (!List.empty()) {
@@ -129,6 +142,20 @@
              : Outcome;
 }
 
+NamedRateLimit decodeRateLimit(const HttpHeaders &ReplyHeaders,
+                               const RoutedHeaders &Headers) {
+  NamedRateLimit Result;
+  for (const auto &[Name, Value] : ReplyHeaders) {
+    if (!equalHeaderNames(Name, Headers.m_RateLimit))
+      continue;
+    // Several values contradict one another, so none of them counts.
+    Result.m_RequestsPerSecond =
+        Result.m_IsPresent ? std::nullopt : parseRequestsPerSecond(Value);
+    Result.m_IsPresent = true;
+  }
+  return Result;
+}
+
 HttpResponse forwardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                           std::string Body) {
   HttpResponse Response{
--- a/src/protocol/RoutedProtocol.h
+++ b/src/protocol/RoutedProtocol.h
@@ -27,6 +27,7 @@
   std::string m_ExpectTarget;    ///< The only target that may run a request.
   std::string m_TargetSignature; ///< A target's signature of its reply.
   std::string m_NotExecuted;     ///< Set if the target did not run the request.
+  std::string m_RateLimit;       ///< A target's limit for all VMs together.
   std::string m_ShardSignatures; ///< Signatures of the shards' replies.
   std::string m_MissingShards;   ///< Number of shards missing from an answer.
 };
@@ -58,6 +59,16 @@
 CallOutcome classifyShardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                                const RoutedHeaders &Headers);
 
+/** The limit that a target's reply names. */
+struct NamedRateLimit {
+  bool m_IsPresent = false; ///< The reply has the header.
+  /** None if the header is absent, or its value isn't a rate. */
+  std::optional<double> m_RequestsPerSecond;
+};
+
+NamedRateLimit decodeRateLimit(const HttpHeaders &ReplyHeaders,
+                               const RoutedHeaders &Headers);
+
 /** Builds the answer that forwards a target's reply without its hop-by-hop
  *  headers. */
 HttpResponse forwardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
