Keep to the limits that targets name, over all VMs together

Change: TargetRateLimit gives each VM its share of the limit, by its part of the fleet's processor capacity, as times at which it may send one request. A time lapses after a second, so that a hundred VMs can't spend what they saved in one burst. TargetChooser asks it for first calls, hedges, retries and probes alike, so other replicas take what exceeds it. Where no replica has room, the request is refused at once: 503, not run, with Retry-After and the reason target-limit in the log. A limit of zero is tried now and then, since only a reply can end it.

Ruled out: reading the limit at some VMs only, or late.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -314,6 +314,20 @@
   return Names;
 }
 
+double FleetView::capacityShare(TimePoint Now) const {
+  double Sum = m_Self.m_CapacityPermille;
+  double Count = 1;
+  bool IsKnown = m_Self.m_CapacityPermille > 0;
+  for (const auto &[Name, Each] : m_Peers) {
+    if (Now - Each.m_LastReceivedAt >= m_Options.m_PeerRetention)
+      continue;
+    Sum += Each.m_Record.m_CapacityPermille;
+    ++Count;
+    IsKnown = IsKnown && Each.m_Record.m_CapacityPermille > 0;
+  }
+  return IsKnown ? m_Self.m_CapacityPermille / Sum : 1 / Count;
+}
+
 std::vector<VmName> FleetView::storeReaders(TimePoint Now) const {
   std::vector<VmName> Reaching;
   std::vector<VmName> All{m_Self.m_Vm};
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -179,6 +179,9 @@
   std::vector<VmRecord> serving(TimePoint Now) const;
   /** VMs that may use a share of common limits, including this one. */
   std::vector<VmName> quotaMembers(TimePoint Now) const;
+  /** This VM's part, from 0 to 1, of the CPU capacity of quotaMembers(); an
+   *  equal part if a capacity is unknown. */
+  double capacityShare(TimePoint Now) const;
   /** Live VMs that can reach the platform's store, including this one; all live
    *  VMs if none can reach it. */
   std::vector<VmName> storeReaders(TimePoint Now) const;
--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -28,10 +28,24 @@
          (Load.outstanding() == 0 && !Load.isBackingOff(Now));
 }
 
+bool TargetChooser::isRateLimited(const ChoiceQuery &Query,
+                                  const TargetPtr &Candidate, TimePoint Now) {
+  return !Candidate->m_RateLimit.maySend(Query.m_RateLimitShare, Now);
+}
+
 bool TargetChooser::hasUsable(const ChoiceQuery &Query, TimePoint Now) {
   return std::any_of(Query.m_Candidates.begin(), Query.m_Candidates.end(),
                      [&](const TargetPtr &Candidate) {
-                       return isUsable(Query, Candidate, Now);
+                       return isUsable(Query, Candidate, Now) &&
+                              !isRateLimited(Query, Candidate, Now);
+                     });
+}
+
+bool TargetChooser::hasRateLimited(const ChoiceQuery &Query, TimePoint Now) {
+  return std::any_of(Query.m_Candidates.begin(), Query.m_Candidates.end(),
+                     [&](const TargetPtr &Candidate) {
+                       return isUsable(Query, Candidate, Now) &&
+                              isRateLimited(Query, Candidate, Now);
                      });
 }
 
@@ -59,14 +73,16 @@
 TargetPtr TargetChooser::choose(const ChoiceQuery &Query, TimePoint Now) {
   std::vector<std::pair<double, TargetPtr>> Ranked;
   for (const TargetPtr &Candidate : Query.m_Candidates)
-    if (isUsable(Query, Candidate, Now))
+    if (isUsable(Query, Candidate, Now) &&
+        !isRateLimited(Query, Candidate, Now))
       Ranked.emplace_back(cost(Query, *Candidate, Now), Candidate);
   std::sort(Ranked.begin(), Ranked.end(),
             [](const auto &Left, const auto &Right) {
               return Left.first < Right.first;
             });
   for (const auto &[Cost, Candidate] : Ranked)
-    if (!Candidate->isCold(Now) || Query.m_TryAcquireColdCall(*Candidate))
+    if ((!Candidate->isCold(Now) || Query.m_TryAcquireColdCall(*Candidate)) &&
+        Candidate->m_RateLimit.tryAcquire(Query.m_RateLimitShare, Now))
       return Candidate;
   return nullptr;
 }
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -42,6 +42,8 @@
   bool m_SingleRun = false; ///< The request may run only once.
   /** Whether calls may be sent to a data centre. */
   std::function<bool(const DataCentreName &)> m_IsDataCentreAllowed;
+  /** This VM's part of the limits that targets name. */
+  double m_RateLimitShare = 1;
   /** Acquires the right to send a call to a cold target. */
   std::function<bool(const Target &)> m_TryAcquireColdCall;
 };
@@ -57,10 +59,14 @@
 
   /** Whether any target is usable, ignoring limits on calls to cold targets. */
   static bool hasUsable(const ChoiceQuery &Query, TimePoint Now);
+  /** Whether a target would be usable if it named no limit. */
+  static bool hasRateLimited(const ChoiceQuery &Query, TimePoint Now);
 
 private:
   static bool isUsable(const ChoiceQuery &Query, const TargetPtr &Candidate,
                        TimePoint Now);
+  static bool isRateLimited(const ChoiceQuery &Query,
+                            const TargetPtr &Candidate, TimePoint Now);
   double cost(const ChoiceQuery &Query, const Target &Candidate, TimePoint Now);
 
   ChoiceCosts m_Costs;
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -32,8 +32,8 @@
           [this](Target &Source, const HttpHeaders &Headers, TimePoint SentAt,
                  TimePoint Now) { onReply(Source, Headers, SentAt, Now); }),
       m_Chooser(ChoiceCosts{}, Seed), m_ColdStartQuota(Settings.m_Vm),
-      m_RetryAfterPolicy(RetryAfterOptions{}, Seed), m_QuotaMembers{
-                                                         Settings.m_Vm} {}
+      m_RetryAfterPolicy(RetryAfterOptions{}, Seed),
+      m_QuotaMembers{Settings.m_Vm}, m_PhaseRandom(Seed) {}
 
 ChoiceQuery RoutedContext::makeChoiceQuery(const ServiceName &Service,
                                            RouteKind Kind,
@@ -47,6 +47,7 @@
               [this](const DataCentreName &DataCentre) {
                 return !m_Registry.isEvacuated(DataCentre);
               },
+          .m_RateLimitShare = m_RateLimitShare,
           .m_TryAcquireColdCall = [](const Target &) { return false; }};
 }
 
@@ -103,6 +104,7 @@
   if (Source.m_RateLimit.onReply(
           {.m_RequestsPerSecond = Named.m_RequestsPerSecond,
            .m_SentAt = SentAt},
+          std::uniform_real_distribution<>()(m_PhaseRandom), m_RateLimitShare,
           Now))
     logEvent(Event::TargetLimitChanged, "target={} service={} limit={}", Name,
              Source.m_Entry.m_Service,
@@ -149,6 +151,14 @@
       makeChoiceQuery(Service, RouteKind::Idempotent, {}, Now), Now);
 }
 
+bool RoutedContext::isRateLimited(const ServiceName &Service,
+                                  TimePoint Now) const {
+  const ChoiceQuery Query =
+      makeChoiceQuery(Service, RouteKind::Idempotent, {}, Now);
+  return !TargetChooser::hasUsable(Query, Now) &&
+         TargetChooser::hasRateLimited(Query, Now);
+}
+
 void RoutedContext::recordFirstCall(const ServiceName &Service) {
   budget(Service).recordFirstCalls(1);
 }
@@ -185,6 +195,7 @@
 
 void RoutedContext::updateShares(TimePoint Now) {
   m_QuotaMembers = m_Fleet.quotaMembers(Now);
+  m_RateLimitShare = m_Fleet.capacityShare(Now);
   m_ExtraCallBurst =
       std::max(1.0, ShareableExtraCallFraction * m_Settings.m_RetrySlack /
                         static_cast<double>(m_QuotaMembers.size()));
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -24,6 +24,7 @@
 #include "protocol/RoutedSettings.h"
 
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +44,9 @@
 
   /** Whether \p Service has a usable target. */
   bool isServable(const ServiceName &Service, TimePoint Now) const;
+  /** Whether \p Service has no usable target only because of the limits that
+   *  its targets name. */
+  bool isRateLimited(const ServiceName &Service, TimePoint Now) const;
   /** Credits the extra-call budget of \p Service for one first call. */
   void recordFirstCall(const ServiceName &Service);
   /** Estimates call latency and hedge delay of \p RequestRoute. */
@@ -107,6 +111,8 @@
   RoutedMetrics m_Metrics;
   std::vector<VmName> m_QuotaMembers;
   double m_ExtraCallBurst = 1;
+  double m_RateLimitShare = 1;
+  std::minstd_rand m_PhaseRandom;
   std::map<ServiceName, ExtraLoadBudget> m_Budgets;
   std::map<std::string, HedgeDelayEstimator>
       m_HedgeDelayEstimators; ///< By route name.
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -60,8 +60,7 @@
 
 void RoutedRequestRunner::start(TimePoint Now) {
   if (const auto Missing = unavailableServices(Now); !Missing.empty()) {
-    refuse(Errc::NoTarget, "Too few targets are available.",
-           fmt::format("{}:no-target", fmt::join(Missing, ":no-target,")), Now);
+    refuseForLackOfTargets(Missing, Now);
     return;
   }
   if (!m_Context.crashQuarantine().isEmpty() &&
@@ -367,6 +366,23 @@
   refuse(Reason, Message, FailedServices, Now);
 }
 
+void RoutedRequestRunner::refuseForLackOfTargets(
+    const std::vector<ServiceName> &Missing, TimePoint Now) {
+  std::string FailedServices;
+  bool IsLimited = false;
+  for (const ServiceName &Each : Missing) {
+    const bool IsEachLimited = m_Context.isRateLimited(Each, Now);
+    IsLimited = IsLimited || IsEachLimited;
+    FailedServices +=
+        fmt::format("{}{}:{}", FailedServices.empty() ? "" : ",", Each,
+                    IsEachLimited ? "target-limit" : "no-target");
+  }
+  refuse(IsLimited ? Errc::Overloaded : Errc::NoTarget,
+         IsLimited ? "The targets' own limits are used up."
+                   : "Too few targets are available.",
+         FailedServices, Now);
+}
+
 void RoutedRequestRunner::refuse(std::error_code Reason,
                                  std::string_view Message,
                                  const std::string &FailedServices,
--- a/src/node/RoutedRequestRunner.h
+++ b/src/node/RoutedRequestRunner.h
@@ -69,6 +69,9 @@
   void answer(HttpResponse Response, std::size_t ShardsAsked,
               std::size_t ShardsAnswered, TimePoint Now);
   void refuse(std::error_code Reason, std::string_view Message, TimePoint Now);
+  /** Refuses the request because \p Missing have no usable target. */
+  void refuseForLackOfTargets(const std::vector<ServiceName> &Missing,
+                              TimePoint Now);
   /** \p FailedServices is logged: the services without an answer, each with
    *  the reason. */
   void refuse(std::error_code Reason, std::string_view Message,
--- a/test/correctness/RoutedProtocolTest.cpp
+++ b/test/correctness/RoutedProtocolTest.cpp
@@ -14,6 +14,7 @@
                         .m_ExpectTarget = "X-Expect",
                         .m_TargetSignature = "X-Stamp",
                         .m_NotExecuted = "X-Not-Run",
+                        .m_RateLimit = "X-Limit",
                         .m_ShardSignatures = "X-Parts",
                         .m_MissingShards = "X-Missing"};
   HttpRequest m_Request{.m_Method = "POST",
@@ -144,4 +145,31 @@
     BOOST_TEST(!Read(Invalid).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RateLimit_inReply_isRead) {
+  for (const auto &[Text, Value] : std::vector<std::pair<std::string, double>>{
+           {"36", 36}, {"28.4", 28.4}, {"0", 0}, {"0.25", 0.25}}) {
+    const NamedRateLimit Limit = decodeRateLimit({{"x-limit", Text}}, m_Names);
+    BOOST_TEST(Limit.m_IsPresent);
+    BOOST_REQUIRE(Limit.m_RequestsPerSecond);
+    BOOST_TEST(*Limit.m_RequestsPerSecond == Value);
+  }
+  BOOST_TEST(!decodeRateLimit({{"X-Other", "3"}}, m_Names).m_IsPresent);
+}
+
+BOOST_AUTO_TEST_CASE(RateLimit_thatIsNoRate_isPresentWithoutValue) {
+  for (const std::string &Text :
+       {std::string(), std::string("-1"), std::string("nan"),
+        std::string("inf"), std::string("3 a second"), std::string("1e3"),
+        std::string("1e999"), std::string("2000000"), std::string(", 3"),
+        std::string(5000, '9')}) {
+    const NamedRateLimit Limit = decodeRateLimit({{"X-Limit", Text}}, m_Names);
+    BOOST_TEST(Limit.m_IsPresent);
+    BOOST_TEST(!Limit.m_RequestsPerSecond, Text.substr(0, 20));
+  }
+  const NamedRateLimit Twice =
+      decodeRateLimit({{"X-Limit", "3"}, {"X-Limit", "4"}}, m_Names);
+  BOOST_TEST(Twice.m_IsPresent);
+  BOOST_TEST(!Twice.m_RequestsPerSecond);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -128,4 +128,21 @@
   BOOST_TEST(choose(Start + seconds(3)) == "home");
 }
 
+BOOST_AUTO_TEST_CASE(Replica_atItsOwnLimit_isReplacedByOthers) {
+  for (const TargetPtr &Each : m_Targets)
+    Each->m_RateLimit.onReply({.m_RequestsPerSecond = 1, .m_SentAt = Start}, 0,
+                              1, Start);
+  std::set<std::string> Chosen;
+  for (int I = 0; I < 3; ++I)
+    Chosen.insert(choose());
+  BOOST_TEST(Chosen.size() == 3U);
+  BOOST_TEST(choose() == "none");
+  const ChoiceQuery Query{
+      .m_Candidates = m_Targets,
+      .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
+  BOOST_TEST(!TargetChooser::hasUsable(Query, Start));
+  BOOST_TEST(TargetChooser::hasRateLimited(Query, Start));
+  BOOST_TEST(choose(Start + seconds(2)) != "none");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetRegistryTest.cpp
+++ b/test/correctness/TargetRegistryTest.cpp
@@ -93,4 +93,17 @@
   BOOST_TEST(knownTargets() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(RateLimit_ofTarget_endsWithItsProcess) {
+  add(makeEntry("t-1"));
+  m_Registry.targets(m_Service)[0]->m_RateLimit.onReply(
+      {.m_RequestsPerSecond = 1, .m_SentAt = Start}, 0, 1, Start);
+  add(makeEntry("t-1"));
+  BOOST_TEST(m_Registry.targets(m_Service)[0]
+                 ->m_RateLimit.requestsPerSecond()
+                 .has_value());
+  add(makeEntry("t-1", "shard-0", "nz-south-a", 2000));
+  BOOST_TEST(
+      !m_Registry.targets(m_Service)[0]->m_RateLimit.requestsPerSecond());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/TargetLimitTest.cpp
+++ b/test/process/TargetLimitTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <deque>
+#include <set>
 
 using namespace figturn;
 using namespace figturn::test;
@@ -43,7 +44,8 @@
     const auto &Vm = *m_Fleet.m_Vms[m_Sent % m_Fleet.m_Vms.size()];
     return RoutedFleet::call(
                Vm.m_CallerPort, "GET", "/look/x",
-               RoutedFleet::requestHeaders("q-" + std::to_string(m_Sent++)))
+               RoutedFleet::requestHeaders("q-" + std::to_string(m_Sent++)), "",
+               Vm.m_Ipv4Address)
         .m_Status;
   }
 
@@ -77,7 +79,7 @@
   constexpr double Limit = 2;
   m_Fleet.runOnStandinThread([this] { m_LimitHeader = "Server-Limit: 2\r\n"; });
   for (int I = 0; I < 3; ++I)
-    lookUp(); // Every VM is told.
+    BOOST_TEST(lookUp() == 200U); // Every VM is told.
   int Refused = 0;
   for (int I = 0; I < 300; ++I)
     Refused += lookUp() == 503 ? 1 : 0;
@@ -87,4 +89,30 @@
   BOOST_TEST(Refused > 0);
 }
 
+BOOST_AUTO_TEST_CASE(Limit_noLongerNamed_isLifted) {
+  m_Fleet.runOnStandinThread(
+      [this] { m_LimitHeader = "Server-Limit: 20\r\n"; });
+  for (int I = 0; I < 3; ++I)
+    BOOST_TEST(lookUp() == 200U);
+  m_Fleet.runOnStandinThread([this] { m_LimitHeader.clear(); });
+  // A VM is told at the next request that its share allows, within a second.
+  std::set<int> Told;
+  for (int I = 0; I < 3000 && Told.size() < 3; ++I) {
+    const int Vm = m_Sent % 3;
+    if (lookUp() == 200)
+      Told.insert(Vm);
+  }
+  BOOST_REQUIRE(Told.size() == 3U);
+  for (int I = 0; I < 150; ++I)
+    BOOST_TEST(lookUp() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(Limit_thatIsNoRate_isIgnored) {
+  m_Fleet.runOnStandinThread(
+      [this] { m_LimitHeader = "Server-Limit: -3\r\n"; });
+  for (int I = 0; I < 60; ++I)
+    BOOST_TEST(lookUp() == 200U);
+  BOOST_TEST(m_Fleet.m_Vms[0]->m_Process->waitForLine("F0616").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
