--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -7,6 +7,7 @@
 #include "support/RoutedTargets.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 using namespace figturn;
 using namespace figturn::platform;
@@ -341,4 +342,66 @@
       [&] { return m_Store->m_RequestCounts["watch config"] == Watches + 1; });
 }
 
+// One such entry among those of the targets made the whole listing unreadable,
+// which counted as an empty one.
+BOOST_AUTO_TEST_CASE(Entry_thatCannotBeRead_leavesTheOthersInUse) {
+  const std::string Valid = toCompactJson(m_Searcher->entry());
+  const auto WithSlots = [&Valid](const std::string &Slots) {
+    std::string Spec = Valid;
+    return Spec.replace(Spec.find("\"slots\":4"), 9, "\"slots\":" + Slots);
+  };
+  const std::vector<std::string> Specs{
+      WithSlots(std::string(20000, '[') + std::string(20000, ']')),
+      std::string(200000, '[') + std::string(200000, ']'),
+      WithSlots("1e999"),
+      WithSlots("123456789012345678901234567890"),
+      WithSlots("-1e400"),
+      WithSlots("\"\xff\xfe\""),
+      WithSlots("1e18"),
+      R"({"service":"desk","address":"127.0.0.1:99999","zone":"z","slots":4,)"
+      R"("state":"ready"})",
+      R"({"service":"desk","address":"127.0.0.1:-1","zone":"z","slots":4,)"
+      R"("state":"ready","born":1e300})",
+      "null",
+      "7",
+      "\"text\"",
+      "[]"};
+  for (std::size_t I = 0; I < Specs.size(); ++I)
+    m_Store->putRaw("servers", fmt::format("odd-{}", I), Specs[I]);
+  startAndSettle();
+  BOOST_TEST(m_Recorder.m_Listings == std::vector<std::size_t>{1});
+  // The same entries as changes, and a change of a sound one after them.
+  for (std::size_t I = 0; I < Specs.size(); ++I)
+    m_Store->putRaw("servers", fmt::format("late-{}", I), Specs[I]);
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  processEventsUntil([&] { return !m_Recorder.m_Changed.empty(); });
+  BOOST_TEST(m_Recorder.m_Changed == std::vector<std::string>{"i-1"});
+  BOOST_TEST(m_Store->m_RequestCounts["list servers"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_thatBecameUnreadable_isRemovedInCopies) {
+  startAndSettle();
+  const std::string Before = m_Synchronizer->stateQuery(StatePart::Registry);
+  m_Store->putRaw("servers", "i-1", "1e999");
+  processEventsUntil([&] { return !m_Recorder.m_Removed.empty(); });
+  const QJsonObject Copy = parseJsonObject(m_Synchronizer->exportState(Before));
+  BOOST_TEST(Copy["removed"].toObject().contains("i-1"));
+}
+
+BOOST_AUTO_TEST_CASE(Listing_thatIsNoListing_doesNotRemoveTargets) {
+  startAndSettle();
+  m_Store->m_ListText = "{\"items\": [{]";
+  m_Store->compactHistoryAndExpireWatches("servers");
+  processEventsUntil(
+      [&] { return m_Store->m_RequestCounts["list servers"] >= 2; });
+  m_Store->m_ListText = "{}";
+  processEventsUntil(
+      [&] { return m_Store->m_RequestCounts["list servers"] >= 4; });
+  BOOST_TEST(m_Recorder.m_Listings.size() == 1U);
+  BOOST_TEST(m_Recorder.m_Removed.empty());
+  m_Store->m_ListText.clear();
+  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  BOOST_TEST(m_Recorder.m_Listings.back() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -148,6 +148,23 @@
   recordChange(Kind, Object, false);
 }
 
+void StoreStandin::putRaw(const std::string &Kind, const std::string &Name,
+                          const std::string &Spec) {
+  m_RawSpecs.push_back(Spec);
+  put(Kind, Name, {{"raw", static_cast<int>(m_RawSpecs.size()) - 1}});
+}
+
+void StoreStandin::sendObjects(const QJsonObject &Body,
+                               SimpleHttpResponder Reply) const {
+  std::string Text = encodeJson(Body);
+  for (std::size_t I = 0; I < m_RawSpecs.size(); ++I) {
+    const std::string Placeholder = fmt::format("{{\"raw\":{}}}", I);
+    if (const std::size_t At = Text.find(Placeholder); At != std::string::npos)
+      Text.replace(At, Placeholder.size(), m_RawSpecs[I]);
+  }
+  Reply.send(200, Text);
+}
+
 void StoreStandin::remove(const std::string &Kind, const std::string &Name) {
   const auto Found = m_Objects[Kind].find(Name);
   if (Found == m_Objects[Kind].end())
@@ -218,6 +235,10 @@
                         const SimpleHttpRequest &Request,
                         SimpleHttpResponder Reply) {
   ++m_RequestCounts["list " + Kind];
+  if (!m_ListText.empty()) {
+    Reply.send(200, m_ListText);
+    return;
+  }
   const auto After = Request.m_Query.find("after");
   QJsonArray Items;
   bool More = false;
@@ -229,10 +250,10 @@
       break;
     Items.append(Object);
   }
-  Reply.send(200,
-             encodeJson({{"items", Items},
-                         {"more", More},
-                         {"current_rev", static_cast<qint64>(m_Revision)}}));
+  sendObjects({{"items", Items},
+               {"more", More},
+               {"current_rev", static_cast<qint64>(m_Revision)}},
+              Reply);
 }
 
 void StoreStandin::watch(const std::string &Kind,
@@ -256,9 +277,9 @@
       Events.append(Each.m_Event);
   if (Events.isEmpty())
     return false;
-  Pending.m_Reply.send(
-      200, encodeJson({{"events", Events},
-                       {"current_rev", static_cast<qint64>(m_Revision)}}));
+  sendObjects(
+      {{"events", Events}, {"current_rev", static_cast<qint64>(m_Revision)}},
+      Pending.m_Reply);
   return true;
 }
 
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -91,6 +91,9 @@
   std::uint16_t port() const { return m_Server.port(); }
   void put(const std::string &Kind, const std::string &Name,
            const QJsonObject &Spec);
+  /** Like put(), with \p Spec as JSON text, which is sent unchanged. */
+  void putRaw(const std::string &Kind, const std::string &Name,
+              const std::string &Spec);
   void remove(const std::string &Kind, const std::string &Name);
   /** Drops the change history; watches from an older revision get 410. */
   void compactHistory();
@@ -103,6 +106,8 @@
   bool m_SuppressesWatchEvents = false; ///< Pending watches get no events.
   /** New watches of this kind are never answered. */
   std::string m_UnansweredWatchKind;
+  /** If not empty, answers each listing instead of the objects. */
+  std::string m_ListText;
   std::size_t m_PageSize = 500;
   std::map<std::string, int>
       m_RequestCounts; ///< Keys: "list KIND", "watch KIND", ...
@@ -127,12 +132,14 @@
   void write(const std::string &Kind, std::string Name,
              const SimpleHttpRequest &Request, SimpleHttpResponder Reply);
   bool answerWatch(const Watch &Pending);
+  void sendObjects(const QJsonObject &Body, SimpleHttpResponder Reply) const;
   void recordChange(const std::string &Kind, const QJsonObject &Object,
                     bool Removed);
 
   std::uint64_t m_Revision = 10;
   std::uint64_t m_CompactedRevision = 0;
   std::map<std::string, std::map<std::string, QJsonObject>> m_Objects;
+  std::vector<std::string> m_RawSpecs; ///< By number in their placeholders.
   std::vector<Change> m_History;
   std::list<Watch> m_Watches;
   SimpleHttpServer m_Server;
