Try more replicas that can't be reached before a request is refused

A request that reached no target was refused after four tries, although other replicas were up. Seen as a failure of CrashingRequestTest, 4 of 72 runs beside load, then 2 of 72: a harmless look-up was refused at a VM that had not yet met any of the four targets of eight that had crashed; it meets all four first with a chance of 1 in 70, at each of two VMs.

Tries that reach no target cost neither the target nor the budget, each excludes one replica and, for a time, its target for all requests, so eight are allowed.

--- a/src/coordination/HedgedRequest.h
+++ b/src/coordination/HedgedRequest.h
@@ -107,7 +107,7 @@
 private:
   /** Attempts that reach no target don't count as calls; with more of them than
    *  this, the request isn't retried. */
-  static constexpr std::uint32_t MaxUnsentAttempts = 3;
+  static constexpr std::uint32_t MaxUnsentAttempts = 7;
 
   std::optional<HedgedSend> send(SendKind Kind, HedgedRequestContext &Context,
                                  TimePoint Now);
