Read the store instead of copies only when no copy arrives

A VM counts as behind while any peer has newer state. In a series of changes it is always behind, and would have read the store each 1.5 s, with more than a hundred others, although its peers serve it. A copy that arrives now starts that time anew.

--- a/src/coordination/StateCopySchedule.cpp
+++ b/src/coordination/StateCopySchedule.cpp
@@ -45,7 +45,11 @@
 
 void StateCopySchedule::onEnded(CopyOutcome Outcome, TimePoint Now) {
   m_IsRunning = false;
-  if (Outcome == CopyOutcome::Deferred)
+  // While changes follow one another, a VM is always behind, but its peers
+  // serve it.
+  if (Outcome == CopyOutcome::Complete)
+    m_BehindSince.reset();
+  else if (Outcome == CopyOutcome::Deferred)
     m_NextRequest = Now + m_Options.m_DeferredDelay;
 }
 
--- a/src/coordination/StateCopySchedule.h
+++ b/src/coordination/StateCopySchedule.h
@@ -25,8 +25,8 @@
   /** Delay after a peer deferred the request. */
   Duration m_DeferredDelay = milliseconds(100);
   milliseconds m_Timeout{800};
-  /** A VM that is behind for this long reads the part from the platform, in
-   *  case its peers can't serve it. */
+  /** A VM that is behind for this long, with no copy received, reads the part
+   *  from the platform: its peers can't serve it. */
   Duration m_StoreReadDelay = milliseconds(1500);
 };
 
