--- a/test/correctness/RoutedFuzzTest.cpp
+++ b/test/correctness/RoutedFuzzTest.cpp
@@ -7,12 +7,16 @@
 #include "cli/RequestTimeline.h"
 #include "coordination/RecordMerge.h"
 #include "platform/Decoder.h"
+#include "protocol/Compression.h"
+#include "protocol/DocumentHistory.h"
 #include "protocol/JsonConvert.h"
+#include "protocol/LenientJson.h"
 #include "protocol/RoutedProtocol.h"
 #include "protocol/RoutedSettings.h"
 #include "support/RoutedFleet.h"
 #include "transport/HttpCodec.h"
 
+#include <QJsonArray>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <random>
@@ -168,6 +172,55 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(Listings_malformed_keepTheirReadableEntries) {
+  const std::string Entry =
+      R"({"meta":{"name":"i-1"},"spec":{"slots":4,"a":[1,{"b":"c"}]}})";
+  // Mutations within an entry's values leave the entry after it readable.
+  fuzz(R"([1,{"b":"c"}])", [&Entry](const std::string &Text) {
+    const auto Body =
+        parseJsonLeniently(R"({"items":[{"meta":{"name":"i-0"},"spec":{"a":)" +
+                           Text + "}}," + Entry + R"(],"more":false})");
+    if (Body && Body->value("items").toArray().size() == 2)
+      BOOST_REQUIRE(toCompactJson(Body->value("items")[1].toObject()).size() ==
+                    Entry.size());
+  });
+  fuzz(R"({"items":[)" + Entry + "," + Entry + R"(],"current_rev":7})",
+       [](const std::string &Text) {
+         if (const auto Body = parseJsonLeniently(Text))
+           for (const auto &Each : Body->value("items").toArray())
+             platform::decodeObject(Each.toObject());
+       });
+}
+
+BOOST_AUTO_TEST_CASE(Copies_malformed_areDecompressedOrRefused) {
+  fuzz(compress(toCompactJson(routedConfig(7))), [](const std::string &Bytes) {
+    const auto Text = decompress(Bytes, 100000);
+    BOOST_REQUIRE(!Text || Text->size() <= 100000U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(Changes_malformed_areAppliedOrRefused) {
+  DocumentHistory History({.m_ListField = "routes", .m_NameField = "name"});
+  History.set(6, routedConfig(6));
+  History.set(7, routedConfig(7));
+  const QJsonObject Changes = *History.changesSince(6);
+  DocumentHistory Copy({.m_ListField = "routes", .m_NameField = "name"});
+  Copy.set(6, routedConfig(6));
+  fuzz(toCompactJson(Changes), [&Copy](const std::string &Text) {
+    if (const auto Document = Copy.apply(parseJsonObject(Text)))
+      BOOST_REQUIRE(Document->value("routes").isArray());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(RateLimits_malformed_areReadOrRefused) {
+  const RoutedHeaders Names{.m_RateLimit = "Server-Limit"};
+  fuzz("28.4", [&Names](const std::string &Text) {
+    const auto Limit =
+        decodeRateLimit({{"Server-Limit", Text}}, Names).m_RequestsPerSecond;
+    BOOST_REQUIRE((!Limit || (*Limit >= 0 && *Limit <= 1e6)));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(Settings_malformed_areDecodedOrReported) {
   fuzz(R"({"door": "routed", "vm": "v", "seeds": "10.0.0.1:4,10.0.0.2:4",
              "callerAddress": "127.0.0.1:1", "retrySlack": 116})",
