--- a/src/node/StateCopier.cpp
+++ b/src/node/StateCopier.cpp
@@ -18,7 +18,7 @@
 
 /** Bound for the unpacked size of a copy: several times that of the largest
  *  object that a platform holds. */
-constexpr std::size_t MaxCopyBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxCopyBytes = 16777216;
 
 /** Bound for the number of copies kept rendered. */
 constexpr std::size_t MaxRenderedCopies = 16;
--- a/src/protocol/LenientJson.cpp
+++ b/src/protocol/LenientJson.cpp
@@ -127,7 +127,7 @@
 }
 
 QJsonValue parseValue(std::string_view Text, int Depth) {
-  const QJsonValue Value = parseStrictly(Text);
+  QJsonValue Value = parseStrictly(Text);
   if (!Value.isUndefined())
     return Value;
   if (Depth < MaxSplitDepth) {
