Count deferred copies apart from failed ones

A copy that a busy peer defers is asked for again at once; it was counted among the failed ones, which point at broken links. No decision changes.

--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -397,6 +397,7 @@
   const StateCopyCounters &Copies = m_StateCopier.counters();
   Add("state_copies_total{outcome=\"complete\"}", Copies.m_Complete);
   Add("state_copies_total{outcome=\"failed\"}", Copies.m_Failed);
+  Add("state_copies_total{outcome=\"deferred\"}", Copies.m_DeferredByPeers);
   Add("state_reads_instead_of_copies_total", Copies.m_StoreReads);
   Add("state_copies_served_total", Copies.m_Served);
   Add("state_copies_deferred_total", Copies.m_Deferred);
--- a/src/node/StateCopier.cpp
+++ b/src/node/StateCopier.cpp
@@ -82,7 +82,7 @@
                           const PeerReply &Reply, TimePoint RequestedAt) {
   const TimePoint Now = Clock::now();
   const CopyOutcome Outcome = copyOutcome(Reply);
-  ++(Reply.isOk() ? m_Counters.m_Complete : m_Counters.m_Failed);
+  count(Outcome);
   logEvent(Event::StateCopyEnded,
            "part={} from={} status={} error={} bytes={} ms={}",
            statePartName(Copy.m_Part), Address, Reply.m_Status,
@@ -100,6 +100,20 @@
   m_OnImported();
 }
 
+void StateCopier::count(CopyOutcome Outcome) {
+  switch (Outcome) {
+  case CopyOutcome::Complete:
+    ++m_Counters.m_Complete;
+    break;
+  case CopyOutcome::Deferred:
+    ++m_Counters.m_DeferredByPeers;
+    break;
+  case CopyOutcome::Failed:
+    ++m_Counters.m_Failed;
+    break;
+  }
+}
+
 const std::string &StateCopier::render(const std::string &Query) {
   if (m_RenderedVersion != m_Adapter.stateVersion() ||
       m_Rendered.size() >= MaxRenderedCopies) {
--- a/src/node/StateCopier.h
+++ b/src/node/StateCopier.h
@@ -25,11 +25,12 @@
 
 /** Counts of copies of the state between VMs. */
 struct StateCopyCounters {
-  std::uint64_t m_Complete = 0;   ///< Requested from other VMs, and received.
-  std::uint64_t m_Failed = 0;     ///< Requested from other VMs in vain.
-  std::uint64_t m_StoreReads = 0; ///< Read from the store instead.
-  std::uint64_t m_Served = 0;     ///< Sent to other VMs.
-  std::uint64_t m_Deferred = 0;   ///< Not sent because too many were pending.
+  std::uint64_t m_Complete = 0; ///< Requested from other VMs, and received.
+  std::uint64_t m_Failed = 0;   ///< Requested from other VMs in vain.
+  std::uint64_t m_DeferredByPeers = 0; ///< Requested from busy VMs.
+  std::uint64_t m_StoreReads = 0;      ///< Read from the store instead.
+  std::uint64_t m_Served = 0;          ///< Sent to other VMs.
+  std::uint64_t m_Deferred = 0; ///< Not sent because too many were pending.
   std::uint64_t m_ServedBytes = 0;
   Duration m_RenderTime{}; ///< Sum over the copies served and deferred.
 };
@@ -61,7 +62,7 @@
   void requestCopy(PartCopy &Copy, const StateSource &Source, TimePoint Now);
   void onReply(PartCopy &Copy, const std::string &Address,
                const PeerReply &Reply, TimePoint RequestedAt);
-
+  void count(CopyOutcome Outcome);
   const std::string &render(const std::string &Query);
 
   PlatformAdapter &m_Adapter;
--- a/src/protocol/LenientJson.cpp
+++ b/src/protocol/LenientJson.cpp
@@ -3,9 +3,6 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
-#include <utility>
-#include <vector>
-
 namespace figturn {
 
 namespace {
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+/** Maximum bytes of a reply's head, and of any line of a reply. */
+constexpr std::size_t ReplyHeadLimit = 65536;
+
 beast::string_view toBeastView(std::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -159,13 +162,6 @@
   http::response_parser<http::string_body> m_Parser;
 };
 
-namespace {
-
-/** Bytes of a reply's head, and of a chunk's header. */
-constexpr std::size_t ReplyHeadLimit = 65536;
-
-} // namespace
-
 HttpReplyReader::HttpReplyReader(std::size_t BodyLimit)
     : m_BodyLimit(BodyLimit) {}
 
