Bound the extra calls of VMs that don't know the fleet yet

Cause: a budget starts with half of the VM's share of the fleet's extra calls, and the share of a VM that has just started is that of a lone VM: 49 calls for each service at each of 15 VMs.

Change: the reserve is at most 2 calls; all else is earned by first calls, which keeps the ratio whatever the VM knows of the others. The share's arithmetic moves from RoutedContext to coordination, where a test can reach it.

--- a/src/coordination/ExtraLoadBudget.cpp
+++ b/src/coordination/ExtraLoadBudget.cpp
@@ -4,6 +4,20 @@
 
 namespace figturn {
 
+namespace {
+
+/** Limits what VMs that have all just started, and don't know one another,
+ *  spend before their calls have earned it. */
+constexpr double MaxReserve = 2;
+
+} // namespace
+
+ExtraLoadShare extraLoadShare(double Slack, std::size_t VmCount) {
+  const double Burst = std::max(
+      1.0, Slack / static_cast<double>(std::max<std::size_t>(1, VmCount)));
+  return {.m_Burst = Burst, .m_Reserve = std::min(Burst / 2, MaxReserve)};
+}
+
 ExtraLoadBudget::ExtraLoadBudget(double Share, double Burst, double Reserve)
     : m_Share(Share), m_Burst(Burst), m_Tokens(std::min(Reserve, Burst)) {}
 
--- a/src/coordination/ExtraLoadBudget.h
+++ b/src/coordination/ExtraLoadBudget.h
@@ -7,6 +7,7 @@
  * object of its own for each service.
  */
 
+#include <cstddef>
 #include <cstdint>
 
 namespace figturn {
@@ -41,6 +42,17 @@
   double m_Tokens = 0;
 };
 
+/** Tokens of one VM's budget for one service. */
+struct ExtraLoadShare {
+  double m_Burst = 1;   ///< Maximum number of unspent tokens.
+  double m_Reserve = 0; ///< Tokens before the first call.
+};
+
+/** The share of each of \p VmCount VMs in \p Slack, the extra calls that all of
+ *  them together may send beyond their share of first calls. \p VmCount may be
+ *  too low: a VM that has just started doesn't know the others yet. */
+ExtraLoadShare extraLoadShare(double Slack, std::size_t VmCount);
+
 } // namespace figturn
 
 #endif // FIGTURN_COORDINATION_EXTRALOADBUDGET_H
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -130,7 +130,7 @@
   return m_Budgets
       .try_emplace(Service,
                    ShareableExtraCallFraction * m_Settings.m_RetryRatio,
-                   m_ExtraCallBurst, m_ExtraCallBurst / 2)
+                   m_ExtraLoadShare.m_Burst, m_ExtraLoadShare.m_Reserve)
       .first->second;
 }
 
@@ -196,11 +196,11 @@
 void RoutedContext::updateShares(TimePoint Now) {
   m_QuotaMembers = m_Fleet.quotaMembers(Now);
   m_RateLimitShare = m_Fleet.capacityShare(Now);
-  m_ExtraCallBurst =
-      std::max(1.0, ShareableExtraCallFraction * m_Settings.m_RetrySlack /
-                        static_cast<double>(m_QuotaMembers.size()));
+  m_ExtraLoadShare =
+      extraLoadShare(ShareableExtraCallFraction * m_Settings.m_RetrySlack,
+                     m_QuotaMembers.size());
   for (auto &[Service, Budget] : m_Budgets)
-    Budget.setBurst(m_ExtraCallBurst);
+    Budget.setBurst(m_ExtraLoadShare.m_Burst);
   if (m_Config)
     m_ConnectionPools.setConnectionShares(*m_Config, m_QuotaMembers.size());
 }
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -110,7 +110,7 @@
   RetryAfterPolicy m_RetryAfterPolicy;
   RoutedMetrics m_Metrics;
   std::vector<VmName> m_QuotaMembers;
-  double m_ExtraCallBurst = 1;
+  ExtraLoadShare m_ExtraLoadShare;
   double m_RateLimitShare = 1;
   std::minstd_rand m_PhaseRandom;
   std::map<ServiceName, ExtraLoadBudget> m_Budgets;
