Be ready in search mode only once the indexes are read

Cause: readiness asked for a configuration and a member list only; the indexes are read after the configuration, and a request could come before them.

Change: a VM is ready once each service of its configuration has an index, or the platform gave none when it was asked; a service without an index holds nothing up.

--- a/src/node/ConfigUpdater.cpp
+++ b/src/node/ConfigUpdater.cpp
@@ -101,11 +101,24 @@
     return;
   m_Context.m_Store.get(Path, [this, Path, Service](ObjectResult Result) {
     m_Reading.erase(Path);
+    const bool IsFirst = m_IndexesAsked.insert(Service).second;
     if (!Result.m_Error)
       installIndex(Service, {Path, Result.m_Version, std::move(Result.m_Body)});
+    if (IsFirst)
+      m_Context.m_OnChanged();
   });
 }
 
+bool ConfigUpdater::hasReadIndexes() const {
+  const ConfigurationPtr Config = m_Context.m_Routing.configuration();
+  return Config &&
+         std::all_of(Config->m_Services.begin(), Config->m_Services.end(),
+                     [this](const auto &Each) {
+                       return m_IndexesAsked.contains(Each.first) ||
+                              m_Context.m_Routing.snapshot(Each.first);
+                     });
+}
+
 bool ConfigUpdater::install(const PeerDocument &Document) {
   constexpr std::string_view IndexPrefix = "index/";
   if (Document.m_Path == ConfigObjectPath)
@@ -137,7 +150,7 @@
   for (const auto &[Service, Settings] : Config->m_Services)
     if (!m_Context.m_Routing.snapshot(Service))
       readIndex(Service);
-  m_Context.m_OnInstalled();
+  m_Context.m_OnChanged();
   return true;
 }
 
@@ -156,7 +169,7 @@
   m_Documents[Document.m_Path] = Document;
   logEvent(Event::IndexInForce, "service={} index={} shards={}", Service,
            Snapshot->m_Version, Snapshot->m_Shards.size());
-  m_Context.m_OnInstalled();
+  m_Context.m_OnChanged();
   return true;
 }
 
--- a/src/node/ConfigUpdater.h
+++ b/src/node/ConfigUpdater.h
@@ -31,8 +31,9 @@
   MembershipTable &m_Membership;
   /** Posts to the control thread from any thread. */
   std::function<void(std::function<void()>)> m_Post;
-  /** Called when a newer configuration or index has been installed. */
-  std::function<void()> m_OnInstalled;
+  /** Called when a newer configuration or index has been installed, and when
+   *  hasReadIndexes() may have become true. */
+  std::function<void()> m_OnChanged;
 };
 
 /** Updates the configuration and indexes of one VM. */
@@ -47,6 +48,9 @@
   /** Starts to read the index of \p Service from the platform, unless a read
    *  is in progress. */
   void refreshIndex(const ServiceName &Service);
+  /** Whether each service of the configuration has an index, or the platform
+   *  has been asked for it once and gave none. */
+  bool hasReadIndexes() const;
   /** The documents held here at \p Paths, for peers. */
   std::vector<PeerDocument>
   heldDocuments(const std::vector<std::string> &Paths) const;
@@ -70,6 +74,7 @@
   std::uint64_t m_TickCount = 0;
   std::map<std::string, PeerDocument> m_Documents; ///< By path.
   std::set<std::string> m_Reading;                 ///< Paths being read.
+  std::set<ServiceName> m_IndexesAsked; ///< Services whose index was read.
   bool m_Watching = false;
   bool m_Pulling = false;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -112,7 +112,7 @@
            .m_Membership = m_Membership,
            .m_Post =
                [this](std::function<void()> Task) { post(std::move(Task)); },
-           .m_OnInstalled =
+           .m_OnChanged =
                [this] {
                  m_Dispatcher.configure();
                  updateReadiness();
@@ -176,7 +176,8 @@
 }
 
 void Node::updateReadiness() {
-  if (m_Ready || !m_Routing.configuration() ||
+  // Callers would be refused for a service whose index is still being read.
+  if (m_Ready || !m_ConfigUpdater.hasReadIndexes() ||
       m_Membership.members()->m_Members.empty())
     return;
   m_Ready = true;
--- a/test/standin/PlatformStandin.cpp
+++ b/test/standin/PlatformStandin.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view ObjectsPath = "/v1/objects/";
+constexpr std::string_view IndexPath = "/v1/objects/index/";
 constexpr std::string_view WatchPath = "/v1/watch/";
 constexpr std::string_view ListPath = "/v1/list";
 constexpr std::string_view VmsPath = "/v1/vms";
@@ -60,10 +61,14 @@
     return handleControl(Exchange);
   if (m_IsSilent)
     return;
-  if (m_Delay.count() == 0)
+  const bool IsIndexRead =
+      Exchange.request().m_Method == "GET" &&
+      decodeSuffix(Exchange.request().m_Path, "").starts_with(IndexPath);
+  const milliseconds Delay =
+      IsIndexRead ? std::max(m_Delay, m_IndexDelay) : m_Delay;
+  if (Delay.count() == 0)
     return serve(Exchange);
-  QTimer::singleShot(m_Delay, &m_Context,
-                     [this, Exchange] { serve(Exchange); });
+  QTimer::singleShot(Delay, &m_Context, [this, Exchange] { serve(Exchange); });
 }
 
 void PlatformStandin::serve(const StandinExchange &Exchange) {
@@ -187,6 +192,8 @@
     m_AreWatchesSilent = Control["silentWatches"].toBool();
   if (Control.contains("delayMs"))
     m_Delay = milliseconds(Control["delayMs"].toInteger());
+  if (Control.contains("indexDelayMs"))
+    m_IndexDelay = milliseconds(Control["indexDelayMs"].toInteger());
   if (Control.contains("vms"))
     m_Vms = Control["vms"].toArray();
   const auto Lost = countAt(Control, "loseNextWriteAnswers");
--- a/test/standin/PlatformStandin.h
+++ b/test/standin/PlatformStandin.h
@@ -78,6 +78,7 @@
   bool m_IsSilent = false;      ///< Sends no reply.
   bool m_AreWatchesSilent = false;
   milliseconds m_Delay{};          ///< Before each reply.
+  milliseconds m_IndexDelay{};     ///< Before each reply with an index.
   FaultCounter m_LostWriteReplies; ///< Writes applied without a reply.
   FaultCounter m_StaleReads;       ///< Reads that return the previous value.
 };
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -77,6 +77,8 @@
   const auto Ready = m_Platform->waitForLine("ready platform");
   require(Ready.has_value(), "the platform stand-in did not start");
   m_PlatformPort = parsePort(*Ready, "port");
+  if (!m_Options.m_PlatformFaults.isEmpty())
+    platformClient().postJson("/control", m_Options.m_PlatformFaults);
 }
 
 void Cluster::startTargets(const ServiceSpec &Service) {
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -42,6 +42,8 @@
   std::vector<std::string> m_DataCentres{"nz-south-a", "nz-south-b",
                                          "nz-south-c"};
   std::uint32_t m_EntryVms = 3;
+  /** Faults of the platform from its start on, as in POST /control. */
+  QJsonObject m_PlatformFaults;
 };
 
 /** Starts the fleet; throws std::runtime_error if a process fails to start. */
