Answer in one place whether a service has a usable target

Whether a target is at its own limit was asked by two functions beside isUsable, which repeated one another and were called one after the other to tell a service without targets from one whose targets are at their limits. One function now says which of the two it is. TargetRateLimit's period loses a constant and a nested conversion. No decision changes; the test's two checks become one on the three values.

--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -28,25 +28,23 @@
          (Load.outstanding() == 0 && !Load.isBackingOff(Now));
 }
 
-bool TargetChooser::isRateLimited(const ChoiceQuery &Query,
-                                  const TargetPtr &Candidate, TimePoint Now) {
-  return !Candidate->m_RateLimit.maySend(Query.m_RateLimitShare, Now);
+bool TargetChooser::isWithinRateLimit(const ChoiceQuery &Query,
+                                      const TargetPtr &Candidate,
+                                      TimePoint Now) {
+  return Candidate->m_RateLimit.maySend(Query.m_RateLimitShare, Now);
 }
 
-bool TargetChooser::hasUsable(const ChoiceQuery &Query, TimePoint Now) {
-  return std::any_of(Query.m_Candidates.begin(), Query.m_Candidates.end(),
-                     [&](const TargetPtr &Candidate) {
-                       return isUsable(Query, Candidate, Now) &&
-                              !isRateLimited(Query, Candidate, Now);
-                     });
-}
-
-bool TargetChooser::hasRateLimited(const ChoiceQuery &Query, TimePoint Now) {
-  return std::any_of(Query.m_Candidates.begin(), Query.m_Candidates.end(),
-                     [&](const TargetPtr &Candidate) {
-                       return isUsable(Query, Candidate, Now) &&
-                              isRateLimited(Query, Candidate, Now);
-                     });
+Availability TargetChooser::availability(const ChoiceQuery &Query,
+                                         TimePoint Now) {
+  Availability Result = Availability::None;
+  for (const TargetPtr &Candidate : Query.m_Candidates) {
+    if (!isUsable(Query, Candidate, Now))
+      continue;
+    if (isWithinRateLimit(Query, Candidate, Now))
+      return Availability::Usable;
+    Result = Availability::RateLimited;
+  }
+  return Result;
 }
 
 double TargetChooser::cost(const ChoiceQuery &Query, const Target &Candidate,
@@ -74,7 +72,7 @@
   std::vector<std::pair<double, TargetPtr>> Ranked;
   for (const TargetPtr &Candidate : Query.m_Candidates)
     if (isUsable(Query, Candidate, Now) &&
-        !isRateLimited(Query, Candidate, Now))
+        isWithinRateLimit(Query, Candidate, Now))
       Ranked.emplace_back(cost(Query, *Candidate, Now), Candidate);
   std::sort(Ranked.begin(), Ranked.end(),
             [](const auto &Left, const auto &Right) {
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -11,6 +11,7 @@
 
 #include "coordination/TargetRegistry.h"
 
+#include <cstdint>
 #include <functional>
 #include <random>
 #include <span>
@@ -48,6 +49,13 @@
   std::function<bool(const Target &)> m_TryAcquireColdCall;
 };
 
+/** Whether a service has a target for a call. */
+enum class Availability : std::uint8_t {
+  None,
+  RateLimited, ///< All usable targets are at the limits that they name.
+  Usable
+};
+
 /** Chooses the target with the lowest cost. Not thread-safe. */
 class TargetChooser {
 public:
@@ -58,15 +66,13 @@
   TargetPtr choose(const ChoiceQuery &Query, TimePoint Now);
 
   /** Whether any target is usable, ignoring limits on calls to cold targets. */
-  static bool hasUsable(const ChoiceQuery &Query, TimePoint Now);
-  /** Whether a target would be usable if it named no limit. */
-  static bool hasRateLimited(const ChoiceQuery &Query, TimePoint Now);
+  static Availability availability(const ChoiceQuery &Query, TimePoint Now);
 
 private:
   static bool isUsable(const ChoiceQuery &Query, const TargetPtr &Candidate,
                        TimePoint Now);
-  static bool isRateLimited(const ChoiceQuery &Query,
-                            const TargetPtr &Candidate, TimePoint Now);
+  static bool isWithinRateLimit(const ChoiceQuery &Query,
+                                const TargetPtr &Candidate, TimePoint Now);
   double cost(const ChoiceQuery &Query, const Target &Candidate, TimePoint Now);
 
   ChoiceCosts m_Costs;
--- a/src/coordination/TargetRateLimit.cpp
+++ b/src/coordination/TargetRateLimit.cpp
@@ -1,7 +1,6 @@
 #include "coordination/TargetRateLimit.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace figturn {
@@ -24,10 +23,9 @@
   const double Rate =
       ShareableFraction * Share *
       std::max(m_RequestsPerSecond.value_or(0), MinRequestsPerSecond);
-  const double Seconds = 1 / std::max(Rate, 1e-9);
-  return std::chrono::duration_cast<Duration>(
-      std::min<std::chrono::duration<double>>(
-          std::chrono::duration<double>(Seconds), MaxPeriod));
+  const std::chrono::duration<double> Period(1 / Rate); // Infinite if 0.
+  return Period < MaxPeriod ? std::chrono::duration_cast<Duration>(Period)
+                            : MaxPeriod;
 }
 
 bool TargetRateLimit::onReply(const RateLimitReport &Report, double Phase,
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -145,20 +145,12 @@
   budget(Service).release();
 }
 
-bool RoutedContext::isServable(const ServiceName &Service,
-                               TimePoint Now) const {
-  return TargetChooser::hasUsable(
+Availability RoutedContext::availability(const ServiceName &Service,
+                                         TimePoint Now) const {
+  return TargetChooser::availability(
       makeChoiceQuery(Service, RouteKind::Idempotent, {}, Now), Now);
 }
 
-bool RoutedContext::isRateLimited(const ServiceName &Service,
-                                  TimePoint Now) const {
-  const ChoiceQuery Query =
-      makeChoiceQuery(Service, RouteKind::Idempotent, {}, Now);
-  return !TargetChooser::hasUsable(Query, Now) &&
-         TargetChooser::hasRateLimited(Query, Now);
-}
-
 void RoutedContext::recordFirstCall(const ServiceName &Service) {
   budget(Service).recordFirstCalls(1);
 }
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -43,10 +43,7 @@
   void releaseExtraCall(const ServiceName &Service) override;
 
   /** Whether \p Service has a usable target. */
-  bool isServable(const ServiceName &Service, TimePoint Now) const;
-  /** Whether \p Service has no usable target only because of the limits that
-   *  its targets name. */
-  bool isRateLimited(const ServiceName &Service, TimePoint Now) const;
+  Availability availability(const ServiceName &Service, TimePoint Now) const;
   /** Credits the extra-call budget of \p Service for one first call. */
   void recordFirstCall(const ServiceName &Service);
   /** Estimates call latency and hedge delay of \p RequestRoute. */
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -371,7 +371,8 @@
   std::string FailedServices;
   bool IsLimited = false;
   for (const ServiceName &Each : Missing) {
-    const bool IsEachLimited = m_Context.isRateLimited(Each, Now);
+    const bool IsEachLimited =
+        m_Context.availability(Each, Now) == Availability::RateLimited;
     IsLimited = IsLimited || IsEachLimited;
     FailedServices +=
         fmt::format("{}{}:{}", FailedServices.empty() ? "" : ",", Each,
@@ -440,7 +441,8 @@
   }
 
   std::vector<ServiceName> unavailableServices(TimePoint Now) const override {
-    if (m_Context.isServable(m_Options.m_Service, Now))
+    if (m_Context.availability(m_Options.m_Service, Now) ==
+        Availability::Usable)
       return {};
     return {m_Options.m_Service};
   }
@@ -504,7 +506,7 @@
     std::vector<ServiceName> Missing;
     const std::vector<ServiceName> &Shards = route().m_Search->m_Shards;
     for (const ServiceName &Shard : Shards)
-      if (!m_Context.isServable(Shard, Now))
+      if (m_Context.availability(Shard, Now) != Availability::Usable)
         Missing.push_back(Shard);
     if (Shards.size() - Missing.size() >=
         m_CoveragePolicy.minShards(Shards.size()))
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -140,8 +140,8 @@
   const ChoiceQuery Query{
       .m_Candidates = m_Targets,
       .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
-  BOOST_TEST(!TargetChooser::hasUsable(Query, Start));
-  BOOST_TEST(TargetChooser::hasRateLimited(Query, Start));
+  BOOST_TEST(
+      (TargetChooser::availability(Query, Start) == Availability::RateLimited));
   BOOST_TEST(choose(Start + seconds(2)) != "none");
 }
 
