Act on a target's word that it leaves or wants to be left alone

The class of the capped targets: a party's word about itself was passed on and not acted on.

Change: TargetSignals holds both for one process of a target. TargetChooser never uses one that leaves, nor one that waits; where all replicas wait, the request is refused at once as not run. Calls that wait for a connection to a target when it asks to wait are sent elsewhere without costing budget. Values that are no time are counted, logged and ignored.

--- a/src/cli/StatusCommand.cpp
+++ b/src/cli/StatusCommand.cpp
@@ -52,8 +52,8 @@
             {"vm", "phase", "configVersion"});
   printRows(Status.value("targets").toArray(), "targets",
             {"target", "service", "dataCentre", "draining", "missing", "cold",
-             "outstanding", "slowness", "failureShare", "rateLimit",
-             "rateLimitAgeMs"});
+             "leavingMs", "waitMs", "outstanding", "slowness", "failureShare",
+             "rateLimit", "rateLimitAgeMs"});
 }
 
 void printStatus(const QJsonObject &Status) {
--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -17,7 +17,8 @@
 bool TargetChooser::isUsable(const ChoiceQuery &Query,
                              const TargetPtr &Candidate, TimePoint Now) {
   const TargetLoad &Load = Candidate->m_Load;
-  if (Candidate->m_Entry.m_Draining || Load.isMisdirected() ||
+  if (Candidate->m_Entry.m_Draining || Candidate->m_Signals.isLeaving() ||
+      Load.isMisdirected() ||
       !Query.m_IsDataCentreAllowed(Candidate->m_Entry.m_DataCentre))
     return false;
   if (std::find(Query.m_TriedTargets.begin(), Query.m_TriedTargets.end(),
@@ -28,10 +29,10 @@
          (Load.outstanding() == 0 && !Load.isBackingOff(Now));
 }
 
-bool TargetChooser::isWithinRateLimit(const ChoiceQuery &Query,
-                                      const TargetPtr &Candidate,
-                                      TimePoint Now) {
-  return Candidate->m_RateLimit.maySend(Query.m_RateLimitShare, Now);
+bool TargetChooser::isWanted(const ChoiceQuery &Query,
+                             const TargetPtr &Candidate, TimePoint Now) {
+  return !Candidate->m_Signals.isWaiting(Now) &&
+         Candidate->m_RateLimit.maySend(Query.m_RateLimitShare, Now);
 }
 
 Availability TargetChooser::availability(const ChoiceQuery &Query,
@@ -40,9 +41,9 @@
   for (const TargetPtr &Candidate : Query.m_Candidates) {
     if (!isUsable(Query, Candidate, Now))
       continue;
-    if (isWithinRateLimit(Query, Candidate, Now))
+    if (isWanted(Query, Candidate, Now))
       return Availability::Usable;
-    Result = Availability::RateLimited;
+    Result = Availability::Limited;
   }
   return Result;
 }
@@ -71,8 +72,7 @@
 TargetPtr TargetChooser::choose(const ChoiceQuery &Query, TimePoint Now) {
   std::vector<std::pair<double, TargetPtr>> Ranked;
   for (const TargetPtr &Candidate : Query.m_Candidates)
-    if (isUsable(Query, Candidate, Now) &&
-        isWithinRateLimit(Query, Candidate, Now))
+    if (isUsable(Query, Candidate, Now) && isWanted(Query, Candidate, Now))
       Ranked.emplace_back(cost(Query, *Candidate, Now), Candidate);
   std::sort(Ranked.begin(), Ranked.end(),
             [](const auto &Left, const auto &Right) {
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -52,7 +52,8 @@
 /** Whether a service has a target for a call. */
 enum class Availability : std::uint8_t {
   None,
-  RateLimited, ///< All usable targets are at the limits that they name.
+  Limited, ///< All usable targets are at limits that they name, or asked to
+           ///< wait.
   Usable
 };
 
@@ -71,8 +72,9 @@
 private:
   static bool isUsable(const ChoiceQuery &Query, const TargetPtr &Candidate,
                        TimePoint Now);
-  static bool isWithinRateLimit(const ChoiceQuery &Query,
-                                const TargetPtr &Candidate, TimePoint Now);
+  /** Whether the target itself wants a request now. */
+  static bool isWanted(const ChoiceQuery &Query, const TargetPtr &Candidate,
+                       TimePoint Now);
   double cost(const ChoiceQuery &Query, const Target &Candidate, TimePoint Now);
 
   ChoiceCosts m_Costs;
--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -12,6 +12,7 @@
 
 #include "coordination/TargetLoad.h"
 #include "coordination/TargetRateLimit.h"
+#include "coordination/TargetSignals.h"
 #include "state/TargetEntry.h"
 
 #include <map>
@@ -28,6 +29,7 @@
   TargetEntry m_Entry;
   TargetLoad m_Load;
   TargetRateLimit m_RateLimit;
+  TargetSignals m_Signals;
   /** When its entry disappeared; none while the registry lists it. */
   std::optional<TimePoint> m_MissingSince;
 
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -29,8 +29,10 @@
                  const TargetObservation &Observation) {
             onObservation(Target, Observation, Clock::now());
           },
-          [this](Target &Source, const HttpHeaders &Headers, TimePoint SentAt,
-                 TimePoint Now) { onReply(Source, Headers, SentAt, Now); }),
+          [this](Target &Source, unsigned Status, const HttpHeaders &Headers,
+                 TimePoint SentAt, TimePoint Now) {
+            onReply(Source, Status, Headers, SentAt, Now);
+          }),
       m_Chooser(ChoiceCosts{}, Seed), m_ColdStartQuota(Settings.m_Vm),
       m_RetryAfterPolicy(RetryAfterOptions{}, Seed),
       m_QuotaMembers{Settings.m_Vm}, m_PhaseRandom(Seed) {}
@@ -91,8 +93,40 @@
     recordTargetDown(Target, "refused", Now);
 }
 
-void RoutedContext::onReply(Target &Source, const HttpHeaders &ReplyHeaders,
-                            TimePoint SentAt, TimePoint Now) {
+void RoutedContext::onReply(Target &Source, unsigned Status,
+                            const HttpHeaders &ReplyHeaders, TimePoint SentAt,
+                            TimePoint Now) {
+  applySignals(Source, Status, ReplyHeaders, Now);
+  applyRateLimit(Source, ReplyHeaders, SentAt, Now);
+}
+
+void RoutedContext::applySignals(Target &Source, unsigned Status,
+                                 const HttpHeaders &ReplyHeaders,
+                                 TimePoint Now) {
+  const TargetName &Name = Source.m_Entry.m_Instance.m_Name;
+  const ServiceName &Service = Source.m_Entry.m_Service;
+  const NamedWait Wait = decodeWait(Status, ReplyHeaders);
+  if (Wait.m_IsPresent && !Wait.m_Time) {
+    m_Metrics.addUnusableWait();
+    logEvent(Event::TargetWaitUnusable, "target={} service={}", Name, Service);
+  }
+  const TargetSignalChange Change = Source.m_Signals.onReply(
+      {.m_IsLeaving = decodeLeaving(ReplyHeaders, m_Headers),
+       .m_WaitTime = Wait.m_Time},
+      Now);
+  if (Change.m_StartedLeaving)
+    logEvent(Event::TargetLeaving, "target={} service={}", Name, Service);
+  if (!Change.m_StartedWait)
+    return;
+  logEvent(Event::TargetWaiting, "target={} service={} ms={}", Name, Service,
+           std::chrono::duration_cast<milliseconds>(*Wait.m_Time).count());
+  // They would be written as soon as a connection is free.
+  m_ConnectionPools.failUnsentCalls(Source);
+}
+
+void RoutedContext::applyRateLimit(Target &Source,
+                                   const HttpHeaders &ReplyHeaders,
+                                   TimePoint SentAt, TimePoint Now) {
   const NamedRateLimit Named = decodeRateLimit(ReplyHeaders, m_Headers);
   const TargetName &Name = Source.m_Entry.m_Instance.m_Name;
   if (Named.m_IsPresent && !Named.m_RequestsPerSecond) {
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -88,8 +88,12 @@
                               TimePoint Now) const;
   void onObservation(const TargetInstance &Target,
                      const TargetObservation &Observation, TimePoint Now);
-  void onReply(Target &Source, const HttpHeaders &ReplyHeaders,
+  void onReply(Target &Source, unsigned Status, const HttpHeaders &ReplyHeaders,
                TimePoint SentAt, TimePoint Now);
+  void applySignals(Target &Source, unsigned Status,
+                    const HttpHeaders &ReplyHeaders, TimePoint Now);
+  void applyRateLimit(Target &Source, const HttpHeaders &ReplyHeaders,
+                      TimePoint SentAt, TimePoint Now);
   bool tryReserveColdStartQuota(const Target &Cold, TimePoint Now);
   ExtraLoadBudget &budget(const ServiceName &Service);
 
--- a/src/node/RoutedMetrics.cpp
+++ b/src/node/RoutedMetrics.cpp
@@ -116,6 +116,7 @@
   }
   Text += fmt::format("figturn_unusable_rate_limits_total {}\n",
                       m_UnusableRateLimits);
+  Text += fmt::format("figturn_unusable_waits_total {}\n", m_UnusableWaits);
   return Text;
 }
 
--- a/src/node/RoutedMetrics.h
+++ b/src/node/RoutedMetrics.h
@@ -69,6 +69,8 @@
   void addOutcome(const ServiceName &Service, CallOutcome Outcome);
   /** Counts a reply whose rate limit can't be read. */
   void addUnusableRateLimit() { ++m_UnusableRateLimits; }
+  /** Counts a reply whose wait can't be read. */
+  void addUnusableWait() { ++m_UnusableWaits; }
 
   /** All counters in the Prometheus text format. */
   std::string text() const;
@@ -77,6 +79,7 @@
   std::map<std::string, RouteCounters> m_Routes;
   std::map<ServiceName, CallCounters> m_Calls;
   std::uint64_t m_UnusableRateLimits = 0;
+  std::uint64_t m_UnusableWaits = 0;
 };
 
 /** Name of \p Outcome in logs and metrics, for example "lost". */
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -357,12 +357,18 @@
   QJsonArray Targets;
   for (const auto &[Name, Each] : m_Context.registry().all()) {
     const auto Limit = Each->m_RateLimit.requestsPerSecond();
+    const auto LeavingSince = Each->m_Signals.leavingSince();
     Targets.append(QJsonObject{
         {"target", toQt(Name.value())},
         {"service", toQt(Each->m_Entry.m_Service.value())},
         {"dataCentre", toQt(Each->m_Entry.m_DataCentre.value())},
         {"draining", Each->m_Entry.m_Draining},
         {"missing", Each->m_MissingSince.has_value()},
+        {"leavingMs", LeavingSince ? toJson(ageMillis(*LeavingSince, Now))
+                                   : QJsonValue::Null},
+        {"waitMs", Each->m_Signals.isWaiting(Now)
+                       ? toJson(ageMillis(Now, Each->m_Signals.waitEnd()))
+                       : QJsonValue::Null},
         {"cold", Each->isCold(Now)},
         {"outstanding", static_cast<int>(Each->m_Load.outstanding())},
         {"slowness", Each->m_Load.slowness(Now)},
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -372,14 +372,14 @@
   bool IsLimited = false;
   for (const ServiceName &Each : Missing) {
     const bool IsEachLimited =
-        m_Context.availability(Each, Now) == Availability::RateLimited;
+        m_Context.availability(Each, Now) == Availability::Limited;
     IsLimited = IsLimited || IsEachLimited;
     FailedServices +=
         fmt::format("{}{}:{}", FailedServices.empty() ? "" : ",", Each,
                     IsEachLimited ? "target-limit" : "no-target");
   }
   refuse(IsLimited ? Errc::Overloaded : Errc::NoTarget,
-         IsLimited ? "The targets' own limits are used up."
+         IsLimited ? "The targets take no requests now."
                    : "Too few targets are available.",
          FailedServices, Now);
 }
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -131,7 +131,7 @@
                   latencyRatio(Result.m_Latency, TypicalLatency), Now);
               // A misdirected call was answered by another target.
               if (!Result.m_Error && Outcome != CallOutcome::Misdirected)
-                m_OnReply(*Destination, Result.m_Headers,
+                m_OnReply(*Destination, Result.m_Status, Result.m_Headers,
                           Now - Result.m_Latency, Now);
               OnResult({.m_Outcome = Outcome,
                         .m_Status = Result.m_Status,
@@ -156,6 +156,12 @@
   return Found != m_Pools.end() && Found->second->withdraw(Call);
 }
 
+void TargetConnectionPools::failUnsentCalls(const Target &Destination) {
+  if (const auto Found = m_Pools.find(Destination.m_Entry.m_Instance);
+      Found != m_Pools.end())
+    Found->second->failUnsentCalls();
+}
+
 void TargetConnectionPools::ensureConnection(const TargetInstance &Target) {
   if (const auto Found = m_Pools.find(Target); Found != m_Pools.end())
     Found->second->warmUp(1);
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -56,8 +56,9 @@
 
   /** Receives each complete reply of a target to a call sent at \p SentAt,
    *  before the call's result handler. */
-  using ReplyHandler = std::function<void(Target &, const HttpHeaders &,
-                                          TimePoint SentAt, TimePoint Now)>;
+  using ReplyHandler =
+      std::function<void(Target &, unsigned Status, const HttpHeaders &,
+                         TimePoint SentAt, TimePoint Now)>;
 
   TargetConnectionPools(std::string RequestIdHeader,
                         ObservationHandler OnObservation, ReplyHandler OnReply)
@@ -78,6 +79,9 @@
   void cancel(const TargetPtr &Destination, CallId Call);
   /** Cancels a call if no byte of it was written; otherwise returns false. */
   bool withdraw(const TargetPtr &Destination, CallId Call);
+  /** Ends the calls to \p Destination that no byte was written of; their
+   *  outcome is NotSent. */
+  void failUnsentCalls(const Target &Destination);
   /** Opens a connection to \p Target if its pool has none. */
   void ensureConnection(const TargetInstance &Target);
   /** Removes the pool of \p Removed; its outstanding calls still finish. */
--- a/src/protocol/RoutedProtocol.cpp
+++ b/src/protocol/RoutedProtocol.cpp
@@ -39,14 +39,38 @@
 /** Higher limits are treated as invalid. */
 constexpr double MaxRequestsPerSecond = 1e6;
 
-std::optional<double> parseRequestsPerSecond(const std::string &Text) {
+/** Longer waits are treated as invalid. */
+constexpr double MaxWaitSeconds = 86400;
+
+/** Reads a decimal number from 0 to \p Max. */
+std::optional<double> parseNumber(const std::string &Text, double Max) {
   double Value = 0;
   const char *End = Text.data() + Text.size();
   const auto Parsed =
       std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
-  const bool IsRate = Parsed.ec == std::errc() && Parsed.ptr == End &&
-                      Value >= 0 && Value <= MaxRequestsPerSecond;
-  return IsRate ? std::optional(Value) : std::nullopt;
+  const bool IsValid = Parsed.ec == std::errc() && Parsed.ptr == End &&
+                       Value >= 0 && Value <= Max;
+  return IsValid ? std::optional(Value) : std::nullopt;
+}
+
+/** A header with one number. */
+struct NumberHeader {
+  bool m_IsPresent = false;
+  std::optional<double> m_Value; ///< None if it is invalid or repeated.
+};
+
+NumberHeader findNumber(const HttpHeaders &Headers, std::string_view Name,
+                        double Max) {
+  NumberHeader Result;
+  for (const auto &[EachName, Value] : Headers) {
+    if (!equalHeaderNames(EachName, Name))
+      continue;
+    // Several values contradict one another, so none of them counts.
+    Result.m_Value =
+        Result.m_IsPresent ? std::nullopt : parseNumber(Value, Max);
+    Result.m_IsPresent = true;
+  }
+  return Result;
 }
 
 /** Whether \p Name is one of the comma-separated tokens of \p List. */
@@ -144,18 +168,29 @@
 
 NamedRateLimit decodeRateLimit(const HttpHeaders &ReplyHeaders,
                                const RoutedHeaders &Headers) {
-  NamedRateLimit Result;
-  for (const auto &[Name, Value] : ReplyHeaders) {
-    if (!equalHeaderNames(Name, Headers.m_RateLimit))
-      continue;
-    // Several values contradict one another, so none of them counts.
-    Result.m_RequestsPerSecond =
-        Result.m_IsPresent ? std::nullopt : parseRequestsPerSecond(Value);
-    Result.m_IsPresent = true;
-  }
+  const NumberHeader Found =
+      findNumber(ReplyHeaders, Headers.m_RateLimit, MaxRequestsPerSecond);
+  return {.m_IsPresent = Found.m_IsPresent,
+          .m_RequestsPerSecond = Found.m_Value};
+}
+
+NamedWait decodeWait(unsigned Status, const HttpHeaders &ReplyHeaders) {
+  if (Status != StatusUnavailable)
+    return {};
+  const NumberHeader Found =
+      findNumber(ReplyHeaders, "Retry-After", MaxWaitSeconds);
+  NamedWait Result{.m_IsPresent = Found.m_IsPresent};
+  if (Found.m_Value)
+    Result.m_Time = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(*Found.m_Value));
   return Result;
 }
 
+bool decodeLeaving(const HttpHeaders &ReplyHeaders,
+                   const RoutedHeaders &Headers) {
+  return headerValue(ReplyHeaders, Headers.m_Leaving) == "1";
+}
+
 HttpResponse forwardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                           std::string Body) {
   HttpResponse Response{
--- a/src/protocol/RoutedProtocol.h
+++ b/src/protocol/RoutedProtocol.h
@@ -28,6 +28,7 @@
   std::string m_TargetSignature; ///< A target's signature of its reply.
   std::string m_NotExecuted;     ///< Set if the target did not run the request.
   std::string m_RateLimit;       ///< A target's limit for all VMs together.
+  std::string m_Leaving;         ///< Set if the target is leaving.
   std::string m_ShardSignatures; ///< Signatures of the shards' replies.
   std::string m_MissingShards;   ///< Number of shards missing from an answer.
 };
@@ -69,6 +70,20 @@
 NamedRateLimit decodeRateLimit(const HttpHeaders &ReplyHeaders,
                                const RoutedHeaders &Headers);
 
+/** For how long a target wants no requests from this VM. */
+struct NamedWait {
+  bool m_IsPresent = false; ///< The reply refuses the request with a wait.
+  /** None if the header is absent, or its value isn't a time in seconds. */
+  std::optional<Duration> m_Time;
+};
+
+/** Reads the Retry-After header of a reply with status 503. */
+NamedWait decodeWait(unsigned Status, const HttpHeaders &ReplyHeaders);
+
+/** Whether a reply says that its target is leaving. */
+bool decodeLeaving(const HttpHeaders &ReplyHeaders,
+                   const RoutedHeaders &Headers);
+
 /** Builds the answer that forwards a target's reply without its hop-by-hop
  *  headers. */
 HttpResponse forwardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
--- a/src/transport/TargetPool.cpp
+++ b/src/transport/TargetPool.cpp
@@ -25,6 +25,10 @@
   m_Impl->setMaxConnections(Limit);
 }
 
+void TargetPool::failUnsentCalls() {
+  m_Impl->failWaitingCalls(Errc::TargetShed);
+}
+
 void TargetPool::warmUp(std::size_t Count) { m_Impl->warmUp(Count); }
 
 std::size_t TargetPool::connections() const {
--- a/src/transport/TargetPool.h
+++ b/src/transport/TargetPool.h
@@ -158,6 +158,9 @@
    *  written or has ended. */
   bool withdraw(CallId Call);
 
+  /** Ends all calls that no byte was written of, with TargetShed and NotRun. */
+  void failUnsentCalls();
+
   /** Opens connections in advance, up to a total of \p Count. */
   void warmUp(std::size_t Count);
 
--- a/src/transport/TargetPoolImpl.h
+++ b/src/transport/TargetPoolImpl.h
@@ -78,6 +78,7 @@
 
   void send(TargetCall Call, ResultHandler OnResult);
   void cancel(CallId Id);
+  void failWaitingCalls(std::error_code Error);
   bool withdraw(CallId Id);
   void setMaxConnections(std::size_t Limit);
   void warmUp(std::size_t Count);
@@ -104,7 +105,6 @@
   void setState(PooledConnection &Pooled, ConnectionState NewState);
   void finishCall(CallId Id, TargetResult Result);
   void failCall(CallId Id, std::error_code Error, RunVerdict Verdict);
-  void failWaitingCalls(std::error_code Error);
   void endCallEarly(CallId Id, std::error_code Error);
   void reportObservation(TargetObservation Observation);
   /** Runs \p Report from the event loop, so that no handler is called from
--- a/test/correctness/RoutedFuzzTest.cpp
+++ b/test/correctness/RoutedFuzzTest.cpp
@@ -221,6 +221,14 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(Waits_malformed_areReadOrRefused) {
+  fuzz("1.5", [](const std::string &Text) {
+    const auto Time = decodeWait(503, {{"Retry-After", Text}}).m_Time;
+    BOOST_REQUIRE(
+        (!Time || (*Time >= Duration(0) && *Time <= std::chrono::hours(24))));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(Settings_malformed_areDecodedOrReported) {
   fuzz(R"({"door": "routed", "vm": "v", "seeds": "10.0.0.1:4,10.0.0.2:4",
              "callerAddress": "127.0.0.1:1", "retrySlack": 116})",
--- a/test/correctness/RoutedProtocolTest.cpp
+++ b/test/correctness/RoutedProtocolTest.cpp
@@ -15,6 +15,7 @@
                         .m_TargetSignature = "X-Stamp",
                         .m_NotExecuted = "X-Not-Run",
                         .m_RateLimit = "X-Limit",
+                        .m_Leaving = "X-Leaving",
                         .m_ShardSignatures = "X-Parts",
                         .m_MissingShards = "X-Missing"};
   HttpRequest m_Request{.m_Method = "POST",
@@ -172,4 +173,37 @@
   BOOST_TEST(!Twice.m_RequestsPerSecond);
 }
 
+BOOST_AUTO_TEST_CASE(Wait_inRefusal_isRead) {
+  for (const auto &[Text, Time] : std::vector<std::pair<std::string, Duration>>{
+           {"2", seconds(2)},
+           {"0.25", milliseconds(250)},
+           {"0", Duration(0)}}) {
+    const NamedWait Wait = decodeWait(503, {{"retry-after", Text}});
+    BOOST_TEST(Wait.m_IsPresent);
+    BOOST_REQUIRE(Wait.m_Time);
+    BOOST_TEST((*Wait.m_Time == Time));
+  }
+  BOOST_TEST(!decodeWait(503, {{"X-Other", "3"}}).m_IsPresent);
+  BOOST_TEST(!decodeWait(200, {{"Retry-After", "3"}}).m_IsPresent);
+}
+
+BOOST_AUTO_TEST_CASE(Wait_thatIsNoTime_isPresentWithoutValue) {
+  for (const std::string &Text :
+       {std::string(), std::string("-1"), std::string("nan"),
+        std::string("Wed, 21 Oct 2026 07:28:00 GMT"), std::string("86401"),
+        std::string("1e1"), std::string(5000, '9')}) {
+    const NamedWait Wait = decodeWait(503, {{"Retry-After", Text}});
+    BOOST_TEST(Wait.m_IsPresent);
+    BOOST_TEST(!Wait.m_Time, Text.substr(0, 20));
+  }
+  BOOST_TEST(
+      !decodeWait(503, {{"Retry-After", "3"}, {"Retry-After", "4"}}).m_Time);
+}
+
+BOOST_AUTO_TEST_CASE(Leaving_inReply_isRead) {
+  BOOST_TEST(decodeLeaving({{"x-leaving", "1"}}, m_Names));
+  BOOST_TEST(!decodeLeaving({{"X-Leaving", "0"}}, m_Names));
+  BOOST_TEST(!decodeLeaving({{"X-Other", "1"}}, m_Names));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -141,8 +141,27 @@
       .m_Candidates = m_Targets,
       .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
   BOOST_TEST(
-      (TargetChooser::availability(Query, Start) == Availability::RateLimited));
+      (TargetChooser::availability(Query, Start) == Availability::Limited));
   BOOST_TEST(choose(Start + seconds(2)) != "none");
 }
 
+BOOST_AUTO_TEST_CASE(Replica_thatIsLeaving_isNeverChosen) {
+  home().m_Signals.onReply({.m_IsLeaving = true}, Start);
+  BOOST_TEST(countHomeChoices(Start + seconds(100)) == 0);
+  m_Targets.resize(1);
+  BOOST_TEST(choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(Replica_thatAskedToWait_isNotChosenUntilTheEnd) {
+  home().m_Signals.onReply({.m_WaitTime = seconds(2)}, Start);
+  BOOST_TEST(countHomeChoices(Start + milliseconds(1999)) == 0);
+  BOOST_TEST(countHomeChoices(Start + seconds(2)) == 100);
+  m_Targets.resize(1);
+  const ChoiceQuery Query{
+      .m_Candidates = m_Targets,
+      .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
+  BOOST_TEST(
+      (TargetChooser::availability(Query, Start) == Availability::Limited));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
