Answer every request of a planned stop before the process is killed

Cause: a stopping VM took requests with any deadline until half of its grace period and then waited for them without a bound. A call whose target was slow or silent ended with the platform's kill: no answer, single runs included (LOST).

Change: StopDeadline. Answers are due at 5/6 of the grace period: running requests have their deadlines brought forward, new ones are given that much, and their targets are told so. A request whose objective doesn't end by then (a single run: three objectives) is refused before it is sent, with Retry-After 0, since other VMs serve it at once.

Tests, on the former program: PlannedStop_withUnansweredSingleRun got no answer, SingleRun_lateInAPlannedStop ran (200 instead of 503), and the target of Request_duringAPlannedStop was given more than the grace period. All pass now. PlannedStop_withPendingRequest has a grace period of 6 s, as on the platform: its request with an objective of 1 s no longer fits a stop of 2 s on a slow machine; its checks are unchanged.

--- a/src/coordination/CoveragePolicy.cpp
+++ b/src/coordination/CoveragePolicy.cpp
@@ -19,6 +19,11 @@
   return std::max<std::size_t>(Count, 1);
 }
 
+void CoveragePolicy::limitDeadline(TimePoint Deadline) {
+  m_Options.m_Deadline = std::min(m_Options.m_Deadline, Deadline);
+  m_Options.m_OnTimeDeadline = std::min(m_Options.m_OnTimeDeadline, Deadline);
+}
+
 TimePoint CoveragePolicy::lateDeadline() const {
   // An answer that is late in any case waits for further shards, but only for
   // half of the remaining time, so that it doesn't miss the deadline.
--- a/src/coordination/CoveragePolicy.h
+++ b/src/coordination/CoveragePolicy.h
@@ -48,6 +48,8 @@
   /** When elapsed time alone may change the decision; the deadline at the
    *  latest. */
   TimePoint nextTimer(TimePoint Now) const;
+  /** Brings the deadline forward to \p Deadline, if it is later. */
+  void limitDeadline(TimePoint Deadline);
   /** Minimum number of shards that an answer must cover. */
   std::size_t minShards(std::size_t Shards) const;
 
--- a/src/coordination/RetryAfterPolicy.cpp
+++ b/src/coordination/RetryAfterPolicy.cpp
@@ -20,6 +20,9 @@
   if (Remaining <= Duration(0) || Reason == Errc::DeadlineExceeded ||
       Reason == Errc::Quarantined)
     return std::nullopt;
+  // Other VMs can take the request at once.
+  if (Reason == Errc::Draining)
+    return milliseconds(0);
   const Duration MeanDelay =
       isOutage(Reason) ? m_Options.m_OutageDelay : m_Options.m_OverloadDelay;
   std::uniform_real_distribution<double> JitterFactor(0.5, 1.5);
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -1,5 +1,6 @@
 #include "node/RoutedContext.h"
 
+#include "node/RoutedRequestRunner.h"
 #include "state/Event.h"
 
 #include <algorithm>
@@ -212,6 +213,15 @@
   updateAdmission(Now);
 }
 
+void RoutedContext::beginStop(TimePoint Now) {
+  m_StopDeadline.begin(
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(m_Settings.m_GraceSeconds)),
+      Now);
+  for (RoutedRequestRunner *Each : m_Runners)
+    Each->limitDeadline(*m_StopDeadline.answerBy(), Now);
+}
+
 void RoutedContext::setSettings(const RoutedSettings &Settings, TimePoint Now) {
   m_Settings = Settings;
   for (auto &[Service, Budget] : m_Budgets)
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -13,6 +13,7 @@
 #include "coordination/HedgeDelayEstimator.h"
 #include "coordination/HedgedRequest.h"
 #include "coordination/RetryAfterPolicy.h"
+#include "coordination/StopDeadline.h"
 #include "coordination/TargetChooser.h"
 #include "coordination/TargetRegistry.h"
 #include "coordination/WeightedRoundRobin.h"
@@ -31,6 +32,8 @@
 
 namespace figturn {
 
+class RoutedRequestRunner;
+
 /** Shared request state of a VM in routed mode. Not thread-safe. */
 class RoutedContext final : public HedgedRequestContext {
 public:
@@ -60,6 +63,13 @@
   /** Recomputes the admission limits from the targets and serving VMs. */
   void updateAdmission(TimePoint Now);
 
+  /** Starts a planned stop: brings the deadlines of running requests forward.
+   */
+  void beginStop(TimePoint Now);
+  const StopDeadline &stopDeadline() const { return m_StopDeadline; }
+  /** All existing runners; each enters and removes itself. */
+  std::set<RoutedRequestRunner *> &runners() { return m_Runners; }
+
   /** Applies changed settings. */
   void setSettings(const RoutedSettings &Settings, TimePoint Now);
 
@@ -101,6 +111,9 @@
   RoutedHeaders m_Headers;
   FleetView &m_Fleet;
   RoutingConfigPtr m_Config;
+  StopDeadline m_StopDeadline;
+  /** Declared before the members that own runners. */
+  std::set<RoutedRequestRunner *> m_Runners;
   TargetRegistry m_Registry{TargetRegistryOptions{}};
   CrashQuarantine m_CrashQuarantine{CrashQuarantineOptions{}};
   TargetConnectionPools m_ConnectionPools;
--- a/src/node/RoutedFrontend.cpp
+++ b/src/node/RoutedFrontend.cpp
@@ -51,6 +51,18 @@
            Duration(0));
     return;
   }
+  if (!m_Context.stopDeadline().mayTake(
+          {.m_Kind = MatchedRoute->m_Kind,
+           .m_Objective = MatchedRoute->m_LatencyObjective,
+           .m_Deadline = Options.m_Deadline},
+          Now)) {
+    refuse(Exchange, Request, Errc::Draining,
+           "This VM stops before the request can end; use another one.",
+           Options.m_Deadline - Now);
+    return;
+  }
+  if (const auto AnswerBy = m_Context.stopDeadline().answerBy())
+    Options.m_Deadline = std::min(Options.m_Deadline, *AnswerBy);
   if (!MatchedRoute->m_Search)
     Options.m_Service = MatchedRoute
                             ->m_Services[m_Context.roundRobin(*MatchedRoute)
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -303,6 +303,7 @@
   m_OnStopped = std::move(OnStopped);
   logEvent(Event::NodeDraining, "vm={}", m_Settings.m_Vm);
   m_Drain.begin(Clock::now());
+  m_Context.beginStop(Clock::now());
   onFleetChange();
   m_Gossip.announce();
   m_CallerServer->closeAfterAnswers();
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -43,7 +43,21 @@
                                          HttpExchangePtr Exchange,
                                          RoutedRequestOptions Options)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
-      m_Options(std::move(Options)), m_StartedAt(m_Exchange->receivedAt()) {}
+      m_Options(std::move(Options)), m_StartedAt(m_Exchange->receivedAt()) {
+  m_Context.runners().insert(this);
+}
+
+RoutedRequestRunner::~RoutedRequestRunner() { m_Context.runners().erase(this); }
+
+void RoutedRequestRunner::limitDeadline(TimePoint Deadline, TimePoint Now) {
+  if (m_Done || m_Options.m_Deadline <= Deadline)
+    return;
+  m_Options.m_Deadline = Deadline;
+  onDeadlineChanged();
+  // A request that waits for admission has a shorter timer of its own.
+  if (m_AdmittedAt)
+    scheduleTimer(Now);
+}
 
 TimePoint RoutedRequestRunner::answerDueTime() const {
   const Duration Objective = route().m_LatencyObjective;
@@ -514,6 +528,10 @@
     return Missing;
   }
 
+  void onDeadlineChanged() override {
+    m_CoveragePolicy.limitDeadline(m_Options.m_Deadline);
+  }
+
   void answerIfDue(TimePoint Now) override {
     switch (m_CoveragePolicy.decide(progress(), Now)) {
     case SearchDecision::Wait:
--- a/src/node/RoutedRequestRunner.h
+++ b/src/node/RoutedRequestRunner.h
@@ -38,10 +38,14 @@
 public:
   RoutedRequestRunner(RoutedContext &Context, HttpExchangePtr Exchange,
                       RoutedRequestOptions Options);
-  virtual ~RoutedRequestRunner() = default;
+  virtual ~RoutedRequestRunner();
+  RoutedRequestRunner(const RoutedRequestRunner &) = delete;
+  RoutedRequestRunner &operator=(const RoutedRequestRunner &) = delete;
 
   /** Requests admission; sends the first calls once admitted. */
   void start(TimePoint Now);
+  /** Brings the request's deadline forward to \p Deadline, if it is later. */
+  void limitDeadline(TimePoint Deadline, TimePoint Now);
 
 protected:
   /** The calls of this request to one service. */
@@ -62,6 +66,8 @@
   virtual void answerIfDue(TimePoint Now) = 0;
   /** When answerIfDue() must run next. */
   virtual TimePoint nextDueTime(TimePoint Now) const = 0;
+  /** Called when m_Options.m_Deadline was brought forward. */
+  virtual void onDeadlineChanged() {}
   /** The services without a usable target if too many are missing to serve
    *  the request; otherwise empty. */
   virtual std::vector<ServiceName> unavailableServices(TimePoint Now) const = 0;
--- a/test/correctness/RoutedPolicyTest.cpp
+++ b/test/correctness/RoutedPolicyTest.cpp
@@ -66,6 +66,11 @@
   BOOST_TEST((MaxDelay - MinDelay > milliseconds(80)));
 }
 
+BOOST_AUTO_TEST_CASE(RetryAfter_duringAPlannedStop_isZero) {
+  BOOST_TEST(
+      (m_RetryAfter.retryAfter(Errc::Draining, seconds(1)) == milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(RetryAfter_whenARetryCantSucceed_isNone) {
   BOOST_TEST(!m_RetryAfter.retryAfter(Errc::DeadlineExceeded, seconds(1)));
   BOOST_TEST(!m_RetryAfter.retryAfter(Errc::NoTarget, Duration(0)));
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace figturn;
 using namespace figturn::test;
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds GracePeriod(6);
+
 struct Fixture {
   Fixture() {
     m_Fleet.publish(routedConfig(3));
@@ -32,6 +35,28 @@
     return RoutedFleet::call(m_Vm->m_CallerPort, "POST", "/book/a?b=c",
                              RoutedFleet::requestHeaders(Id), "order");
   }
+  /** Sets the grace period of planned stops to GracePeriod. */
+  void setGracePeriod() {
+    m_Fleet.writeSettings(*m_Vm,
+                          m_Fleet.m_Folder.filePath("vm-1").toStdString(),
+                          GracePeriod.count());
+    m_Vm->m_Process->signal(SIGHUP);
+    BOOST_REQUIRE(m_Vm->m_Process->waitForLine("F0107").has_value());
+  }
+  /** Publishes a configuration whose routes wait longer than GracePeriod. */
+  void allowLongRequests() {
+    QJsonObject Config = routedConfig(4);
+    QJsonArray Routes;
+    for (const auto &Each : Config["routes"].toArray()) {
+      QJsonObject Route = Each.toObject();
+      Route["timeout_ms"] = 20000;
+      Routes.append(Route);
+    }
+    Config["routes"] = Routes;
+    m_Fleet.publish(Config);
+    BOOST_REQUIRE(
+        m_Vm->m_Process->waitForLine("F0250", "version=4").has_value());
+  }
   void setRunHandler(
       SearcherStandin &Searcher,
       std::function<void(const SimpleHttpRequest &, SimpleHttpResponder)>
@@ -277,6 +302,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(PlannedStop_withPendingRequest_answersIt) {
+  setGracePeriod();
   m_Fleet.runOnStandinThread(
       [&] { m_Desk->m_Delay = std::chrono::milliseconds(600); });
   RawClient PendingClient(m_Vm->m_CallerPort);
@@ -293,6 +319,48 @@
   BOOST_TEST((m_Vm->m_Process->waitForExit() == 0));
 }
 
+BOOST_AUTO_TEST_CASE(PlannedStop_withUnansweredSingleRun_answersBeforeTheKill) {
+  setGracePeriod();
+  allowLongRequests();
+  setRunHandler(*m_Desk, [](const SimpleHttpRequest &, SimpleHttpResponder) {});
+  RawClient PendingClient(m_Vm->m_CallerPort);
+  PendingClient.send("POST /book/x HTTP/1.1\r\nHost: h.example\r\n" +
+                     RoutedFleet::requestHeaders("k-3", 20000) +
+                     "Content-Length: 0\r\n\r\n");
+  BOOST_REQUIRE(m_Vm->m_Process->waitForLine("F0711", "id=k-3").has_value());
+  m_Vm->m_Process->signal(SIGTERM);
+  // The platform kills the process at the end of the grace period.
+  std::this_thread::sleep_for(GracePeriod);
+  m_Vm->m_Process->signal(SIGKILL);
+  const auto Answer = PendingClient.receive();
+  BOOST_REQUIRE(Answer.has_value());
+  BOOST_TEST(Answer->m_Status == 504U);
+}
+
+BOOST_AUTO_TEST_CASE(SingleRun_lateInAPlannedStop_isRefusedBeforeItIsSent) {
+  // Three objectives of 1 s don't fit into a grace period of 2 s.
+  m_Vm->m_Process->signal(SIGTERM);
+  BOOST_REQUIRE(m_Vm->m_Process->waitForLine("F0103").has_value());
+  const RoutedAnswer Answer = book("k-4");
+  BOOST_TEST(Answer.m_Status == 503U);
+  BOOST_TEST(Answer.header("Retry-After") == "0.000");
+  BOOST_TEST(countRuns(*m_Desk) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Request_duringAPlannedStop_hasItsDeadlineBroughtForward) {
+  setGracePeriod();
+  allowLongRequests();
+  m_Vm->m_Process->signal(SIGTERM);
+  BOOST_REQUIRE(m_Vm->m_Process->waitForLine("F0103").has_value());
+  BOOST_TEST(get("/look/x", "k-5", 20000).m_Status == 200U);
+  std::string DeadlineMs;
+  m_Fleet.runOnStandinThread([&] {
+    DeadlineMs = m_Desk->m_RunRequests.at(0).header("x-deadline-milliseconds");
+  });
+  BOOST_TEST(std::stoi(DeadlineMs) <=
+             std::chrono::milliseconds(GracePeriod).count());
+}
+
 BOOST_AUTO_TEST_CASE(PlannedStop_withOutstandingCalls_exitsCleanly) {
   setRunHandler(*m_Right, [](const SimpleHttpRequest &, SimpleHttpResponder) {
   }); // Never replies.
