Copy the state at the first start of a fleet instead of listing it

Cause: each VM listed all three kinds when it started.

Restarts list at once as before, since callers wait for them.

Weighed: reads that may be stale (a tenth of the price; a VM that restarts could use a target that has left) · the same delay at restarts (an outage of all VMs would last longer). WatchSequenceTest, StateSynchronizerTest: both ways.

--- a/src/coordination/WatchSequence.cpp
+++ b/src/coordination/WatchSequence.cpp
@@ -10,6 +10,19 @@
   m_Next.m_DueTime = Now;
 }
 
+void WatchSequence::delayFirstListing(TimePoint Until) {
+  m_Next.m_DueTime = Until;
+}
+
+bool WatchSequence::isFirstListingDelayed(TimePoint Now) const {
+  return !m_Complete && isListing() && m_Next.m_ListAfter.empty() &&
+         Now < m_Next.m_DueTime;
+}
+
+void WatchSequence::onCopied(std::uint64_t Revision, TimePoint Now) {
+  onPage(Revision, false, {}, Now);
+}
+
 void WatchSequence::onPage(std::uint64_t Revision, bool HasMore,
                            const std::string &LastName, TimePoint Now) {
   m_ConsecutiveFailures = 0;
--- a/src/coordination/WatchSequence.h
+++ b/src/coordination/WatchSequence.h
@@ -50,6 +50,13 @@
   /** The next call. */
   const WatchStep &next() const { return m_Next; }
 
+  /** Delays the first listing until \p Until. */
+  void delayFirstListing(TimePoint Until);
+  /** Whether the first listing is still delayed. */
+  bool isFirstListingDelayed(TimePoint Now) const;
+  /** Replaces the first listing by another VM's copy of the objects as of
+   *  \p Revision. */
+  void onCopied(std::uint64_t Revision, TimePoint Now);
   /** Handles a page of a listing. */
   void onPage(std::uint64_t Revision, bool HasMore, const std::string &LastName,
               TimePoint Now);
--- a/src/protocol/RoutedSettings.cpp
+++ b/src/protocol/RoutedSettings.cpp
@@ -100,6 +100,11 @@
     {numberRule("directoryTtlSeconds", MaxSeconds,
                 "Time for which callers may cache the list of VMs."),
      &RoutedSettings::m_DirectoryTtlSeconds},
+    {numberRule("firstListDelaySeconds", MaxSeconds,
+                "Maximum random delay of the first listings of the store; "
+                "until then a copy of another VM makes them unnecessary. For "
+                "the first start of a whole fleet, which no caller waits for."),
+     &RoutedSettings::m_FirstListDelaySeconds},
     {numberRule("cpuShare", 1, "Fraction of each core that the VM may use."),
      &RoutedSettings::m_CpuShare},
     {{.m_Key = "cores",
--- a/src/protocol/RoutedSettings.h
+++ b/src/protocol/RoutedSettings.h
@@ -39,7 +39,10 @@
   double m_ColdMultiplier = 1;    ///< Multiplier of a service's cold rate.
   double m_ColdSlack = 0;         ///< Additional cold requests per second.
   double m_DirectoryTtlSeconds = 2; ///< Cache lifetime of a directory answer.
-  double m_CpuShare = 1;            ///< Fraction of each core it may use.
+  /** Maximum delay of the first listings of the store, chosen at random. A copy
+   *  of another VM that arrives before makes them unnecessary. */
+  double m_FirstListDelaySeconds = 0;
+  double m_CpuShare = 1; ///< Fraction of each core it may use.
   std::uint32_t m_Cores = 1;
   std::uint32_t m_Descriptors = 1024; ///< Limit on open file descriptors.
 };
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -408,4 +408,42 @@
   BOOST_TEST(m_Recorder.m_Listings.back() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(FirstListing_whenACopyArrivesBefore_isNotNeeded) {
+  startAndSettle();
+  const int Listings = m_Store->m_RequestCounts["list servers"];
+  Recorder CopyingRecorder;
+  RoutedSettings Settings;
+  Settings.m_Vm = VmName("vm-2");
+  Settings.m_StoreAddress = m_Store->address();
+  Settings.m_GossipAddress = "127.0.0.2:7740";
+  Settings.m_FirstListDelaySeconds = 3600;
+  StateSynchronizer Copying(Settings, 2);
+  Copying.start(CopyingRecorder);
+  for (const StatePart Each : {StatePart::Registry, StatePart::Config})
+    Copying.importState(m_Synchronizer->exportState(Copying.stateQuery(Each)));
+  BOOST_TEST(Copying.isCurrent());
+  BOOST_TEST(CopyingRecorder.m_Listings == std::vector<std::size_t>{1});
+  // It watches from the copy's revision on.
+  const int Watches = m_Store->m_RequestCounts["watch servers"];
+  processEventsUntil(
+      [&] { return m_Store->m_RequestCounts["watch servers"] > Watches; });
+  m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
+  processEventsUntil([&] { return !CopyingRecorder.m_Changed.empty(); });
+  BOOST_TEST(m_Store->m_RequestCounts["list servers"] == Listings);
+  BOOST_TEST(m_Store->m_RequestCounts["list config"] == Listings);
+  Copying.stop();
+}
+
+BOOST_AUTO_TEST_CASE(FirstListing_withoutACopy_isReadAfterItsDelay) {
+  RoutedSettings Settings;
+  Settings.m_Vm = VmName("vm-2");
+  Settings.m_StoreAddress = m_Store->address();
+  Settings.m_GossipAddress = "127.0.0.2:7740";
+  Settings.m_FirstListDelaySeconds = 0.1;
+  m_Synchronizer = std::make_unique<StateSynchronizer>(Settings, 1);
+  m_Synchronizer->start(m_Recorder);
+  processEventsUntil([&] { return m_Synchronizer->isCurrent(); });
+  BOOST_TEST(m_Recorder.m_Listings == std::vector<std::size_t>{1});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WatchSequenceTest.cpp
+++ b/test/correctness/WatchSequenceTest.cpp
@@ -90,4 +90,22 @@
   BOOST_TEST(m_Sequence.next().m_ListAfter == "m");
 }
 
+BOOST_AUTO_TEST_CASE(FirstListing_delayed_isReplacedByACopy) {
+  m_Sequence.delayFirstListing(Start + seconds(3));
+  BOOST_TEST(isNext(StoreCall::List));
+  BOOST_TEST((wait() == seconds(3)));
+  BOOST_TEST(m_Sequence.isFirstListingDelayed(Start));
+  BOOST_TEST(!m_Sequence.isFirstListingDelayed(Start + seconds(3)));
+  m_Sequence.onCopied(40, Start);
+  BOOST_TEST(!m_Sequence.isFirstListingDelayed(Start));
+  BOOST_TEST(isNext(StoreCall::Watch));
+  BOOST_TEST(m_Sequence.next().m_Revision == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(LaterListing_isNeverDelayed) {
+  listAll();
+  m_Sequence.restart(Start);
+  BOOST_TEST(!m_Sequence.isFirstListingDelayed(Start - seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
