Call local replicas unless they are busy, slow or failing

Cause: a call to another data centre cost 0.35 beside a slowness that one pause of 200 ms raised by 2 or more for seconds, and a jitter of 0.2.

Change: a crossing costs 0.9, slightly less than a replica whose slots or connections are all busy. A latency counts as three times the usual at most, so that a pause alone doesn't send calls away; instead, slow calls sent one after the other mark a target as slow until a trial after 2 s.

--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -59,7 +59,7 @@
                 (Success * Success);
   if (Candidate.m_Entry.m_DataCentre != Query.m_Home)
     Cost += m_Costs.m_OtherDataCentre;
-  if (Load.isOverdue(Now))
+  if (Load.isOverdue(Now) || Load.isSlow(Now))
     Cost += m_Costs.m_Overdue;
   if (Candidate.isCold(Now))
     Cost += m_Costs.m_Cold;
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -21,10 +21,9 @@
 
 /** Costs of target states, in multiples of the usual service time of a call. */
 struct ChoiceCosts {
-  /** Call to another data centre. Less than the cost of one outstanding call at
-   * a target with one or two slots, so that such a local replica is avoided as
-   * soon as it is busier. */
-  double m_OtherDataCentre = 0.35;
+  /** Call to another data centre, whose bytes are priced. Less than the cost of
+   *  a local replica whose slots or connections are all busy. */
+  double m_OtherDataCentre = 0.9;
   double m_Overdue = 6; ///< Paused or slow right now.
   /** Low capacity; chosen only if warm targets are absent or much worse. */
   double m_Cold = 12;
@@ -32,7 +31,7 @@
   /** Unreachable on the last call. Requests that may run only once should not
    *  be used as probes. */
   double m_SingleRunProbe = 20;
-  double m_Jitter = 0.2; ///< Spreads calls over targets of equal cost.
+  double m_Jitter = 0.1; ///< Spreads calls over targets of equal cost.
 };
 
 /** Constraints on the target of a call. */
--- a/src/coordination/TargetLoad.cpp
+++ b/src/coordination/TargetLoad.cpp
@@ -11,7 +11,7 @@
 
 void TargetLoad::end(CallNumber Call, CallOutcome Outcome,
                      double RelativeLatency, TimePoint Now) {
-  m_Calls.erase(Call);
+  const auto Sent = m_Calls.extract(Call);
   m_IsMisdirected = m_IsMisdirected || Outcome == CallOutcome::Misdirected;
   if (Outcome == CallOutcome::Abandoned || Outcome == CallOutcome::Misdirected)
     return;
@@ -23,7 +23,11 @@
   m_FailureShare = Failures + SampleWeight * ((IsBad ? 1 : 0) - Failures);
   switch (Outcome) {
   case CallOutcome::Answered:
-    m_Slowness = Slowness + SampleWeight * (RelativeLatency - Slowness);
+    m_Slowness = Slowness +
+                 SampleWeight *
+                     (std::min(RelativeLatency, MaxRelativeLatency) - Slowness);
+    if (!Sent.empty())
+      recordAnswer(Sent.mapped(), RelativeLatency, Now);
     m_ConsecutiveUnreachable = 0;
     m_BackoffUntil = {};
     break;
@@ -38,6 +42,24 @@
   }
 }
 
+void TargetLoad::recordAnswer(TimePoint OverdueTime, double RelativeLatency,
+                              TimePoint Now) {
+  if (RelativeLatency < MaxRelativeLatency) {
+    m_SlowStreak = 0;
+    return;
+  }
+  // A call that was due before the end of the last slow one met the same pause.
+  if (OverdueTime <= m_LastSlowEnd)
+    return;
+  ++m_SlowStreak;
+  m_LastSlowEnd = Now;
+  m_NextSlowTrial = Now + SlowTrialInterval;
+}
+
+bool TargetLoad::isSlow(TimePoint Now) const {
+  return m_SlowStreak >= MinSlowStreak && Now < m_NextSlowTrial;
+}
+
 void TargetLoad::recordUnreachable(TimePoint Now) {
   constexpr std::uint32_t MaxDoublings = 3;
   const std::uint32_t Doublings =
--- a/src/coordination/TargetLoad.h
+++ b/src/coordination/TargetLoad.h
@@ -46,6 +46,9 @@
   }
   /** Whether any outstanding call is overdue. */
   bool isOverdue(TimePoint Now) const;
+  /** Whether calls sent one after the other were slow, unlike those that meet
+   *  the same pause, and the next trial of the target isn't due yet. */
+  bool isSlow(TimePoint Now) const;
   /** Recent latency as a multiple of the usual; 1 without recent calls. */
   double slowness(TimePoint Now) const;
   /** Recent share of calls that did not succeed, from 0 to 1. */
@@ -61,6 +64,10 @@
 private:
   /** Weight of a new sample in the moving averages. */
   static constexpr double SampleWeight = 0.25;
+  /** Longer latencies count as this multiple of the usual one, so that a pause
+   *  of a fraction of a second, which one or two calls meet, doesn't outweigh
+   *  the calls before and after it. */
+  static constexpr double MaxRelativeLatency = 3;
   /** Time without calls after which a penalty has halved; short compared with
    *  the seconds that slow phases of targets last. */
   static constexpr Duration PenaltyHalfLife = seconds(2);
@@ -69,12 +76,23 @@
   static constexpr Duration InitialBackoff = milliseconds(250);
   static constexpr Duration MaxBackoff = seconds(2);
 
+  /** Number of slow calls, none sent before the end of another, from which a
+   *  target counts as slow. */
+  static constexpr std::uint32_t MinSlowStreak = 2;
+  /** Time between trials of a slow target; each delays a request. */
+  static constexpr Duration SlowTrialInterval = seconds(2);
+
   static double decay(double Penalty, Duration Age);
   void recordUnreachable(TimePoint Now);
+  void recordAnswer(TimePoint OverdueTime, double RelativeLatency,
+                    TimePoint Now);
 
   std::unordered_map<CallNumber, TimePoint> m_Calls;
   double m_Slowness = 1;
   double m_FailureShare = 0;
+  std::uint32_t m_SlowStreak = 0; ///< Slow calls in succession.
+  TimePoint m_LastSlowEnd;
+  TimePoint m_NextSlowTrial;
   TimePoint m_UpdatedAt;
   std::uint32_t m_ConsecutiveUnreachable = 0;
   TimePoint m_BackoffUntil;
--- a/test/correctness/LoadReplayTest.cpp
+++ b/test/correctness/LoadReplayTest.cpp
@@ -31,6 +31,30 @@
       InjectFault(*Replay.targets()[I], I);
     return Replay.run();
   }
+  /** A fleet whose callers are sent to six large VMs. */
+  void setLargeFleet() {
+    m_Options.m_Vms = 6;
+    m_Options.m_Shards = 36;
+    m_Options.m_SearchesPerSecond = 120;
+    m_Options.m_ServiceTime = milliseconds(28);
+    m_Options.m_Objective = milliseconds(200);
+    m_Options.m_Deadline = milliseconds(1200);
+    m_Options.m_MinCoverage = 0.95;
+    m_Options.m_Slots = 6;
+    m_Options.m_RetrySlack = 256;
+    m_Options.m_Duration = seconds(10);
+  }
+  /** A fleet whose callers are sent to fifteen large VMs. */
+  void setLargestFleet() {
+    m_Options.m_Vms = 15;
+    m_Options.m_Shards = 42;
+    m_Options.m_SearchesPerSecond = 100;
+    m_Options.m_MinCoverage = 0.95;
+    m_Options.m_Slots = 3;
+    m_Options.m_MaxConnections = 6;
+    m_Options.m_RetrySlack = 430;
+    m_Options.m_Duration = seconds(10);
+  }
   /** Selects one replica of each shard as faulty, from the data centres in
    *  turn. */
   static bool isFaultyReplica(std::size_t Index) {
@@ -160,4 +184,42 @@
   BOOST_TEST(RefusedShare(replay(enablePauses)) <= MaxRefusedShare);
 }
 
+BOOST_AUTO_TEST_CASE(Connections_sharedByTraffic_halveTheCallsThatCross) {
+  setLargeFleet();
+  m_Options.m_MaxConnections = 1; // Equal shares of 96 VMs.
+  const ReplayResult Equal = replay(enablePauses);
+  m_Options.m_MaxConnections = 4; // Shares of the six VMs with callers.
+  const ReplayResult ByTraffic = replay(enablePauses);
+  BOOST_TEST(ByTraffic.remoteFirstCallRatio() <=
+             0.5 * Equal.remoteFirstCallRatio());
+  BOOST_TEST(ByTraffic.onTimeRatio() >= MinOnTimeShare);
+}
+
+BOOST_AUTO_TEST_CASE(Calls_whileLocalReplicasWork_stayInTheirDataCentre) {
+  // At most one first call in ten may cross.
+  constexpr double MaxRemoteRatio = 0.1;
+  setLargestFleet();
+  m_Options.m_Costs = {.m_OtherDataCentre = 0.35, .m_Jitter = 0.2};
+  const ReplayResult Cheap = replay(enablePauses);
+  BOOST_TEST(Cheap.remoteFirstCallRatio() > MaxRemoteRatio);
+  m_Options.m_Costs = {};
+  const ReplayResult Result = replay(enablePauses);
+  BOOST_TEST(Result.remoteFirstCallRatio() <= MaxRemoteRatio);
+  BOOST_TEST(Result.onTimeRatio() >= MinOnTimeShare);
+}
+
+BOOST_AUTO_TEST_CASE(LocalReplicas_slowForSeconds_areLeftDespiteTheCost) {
+  // Without them, as many searches are complete as with cheap crossings.
+  setLargestFleet();
+  const auto SlowDownSome = [](ReplayTarget &Target, std::size_t Index) {
+    Target.m_HasPauses = true;
+    Target.m_SlowdownFactor = Index % 7 == 0 ? 10 : 1;
+  };
+  const ReplayResult Result = replay(SlowDownSome);
+  m_Options.m_Costs = {.m_OtherDataCentre = 0.35, .m_Jitter = 0.2};
+  const ReplayResult Cheap = replay(SlowDownSome);
+  BOOST_TEST(Result.completeRatio() >= Cheap.completeRatio() - 0.03);
+  BOOST_TEST(Result.onTimeRatio() >= Cheap.onTimeRatio() - 0.01);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -19,6 +19,7 @@
   std::set<DataCentreName> m_DisallowedDataCentres;
   int m_ColdCallPermits = 0;
   bool m_SingleRun = false;
+  std::size_t m_MaxConnections = 100;
   TargetChooser m_Chooser{ChoiceCosts{}, 1};
 
   Target &home() { return *m_Targets[0]; }
@@ -32,6 +33,7 @@
              [this](const DataCentreName &DataCentre) {
                return !m_DisallowedDataCentres.contains(DataCentre);
              },
+         .m_MaxConnections = m_MaxConnections,
          .m_TryAcquireColdCall =
              [this](const Target &) { return m_ColdCallPermits-- > 0; }},
         Now);
@@ -164,4 +166,11 @@
       (TargetChooser::availability(Query, Start) == Availability::Limited));
 }
 
+BOOST_AUTO_TEST_CASE(Replica_whoseConnectionsAreBusy_isAvoidedBeforeItsSlots) {
+  home().m_Load.begin(1, Start + seconds(1));
+  BOOST_TEST(countHomeChoices() == 100); // One of four slots is busy.
+  m_MaxConnections = 1;
+  BOOST_TEST(countHomeChoices() == 0); // A call would wait for the connection.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
