--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <random>
 #include <span>
 
@@ -20,10 +21,9 @@
 
 /** Costs of target states, in multiples of the usual service time of a call. */
 struct ChoiceCosts {
-  /** Call to another data centre. Less than the cost of one outstanding call at
-   * a target with one or two slots, so that such a local replica is avoided as
-   * soon as it is busier. */
-  double m_OtherDataCentre = 0.35;
+  /** Call to another data centre, whose bytes are priced. Less than the cost of
+   *  a local replica whose slots or connections are all busy. */
+  double m_OtherDataCentre = 0.9;
   double m_Overdue = 6; ///< Paused or slow right now.
   /** Low capacity; chosen only if warm targets are absent or much worse. */
   double m_Cold = 12;
@@ -31,7 +31,7 @@
   /** Unreachable on the last call. Requests that may run only once should not
    *  be used as probes. */
   double m_SingleRunProbe = 20;
-  double m_Jitter = 0.2; ///< Spreads calls over targets of equal cost.
+  double m_Jitter = 0.1; ///< Spreads calls over targets of equal cost.
 };
 
 /** Constraints on the target of a call. */
@@ -43,6 +43,9 @@
   bool m_SingleRun = false; ///< The request may run only once.
   /** Whether calls may be sent to a data centre. */
   std::function<bool(const DataCentreName &)> m_IsDataCentreAllowed;
+  /** Connections that this VM may have to each target; calls beyond them wait.
+   */
+  std::size_t m_MaxConnections = std::numeric_limits<std::size_t>::max();
   /** This VM's part of the limits that targets name. */
   double m_RateLimitShare = 1;
   /** Acquires the right to send a call to a cold target. */
@@ -52,7 +55,8 @@
 /** Whether a service has a target for a call. */
 enum class Availability : std::uint8_t {
   None,
-  RateLimited, ///< All usable targets are at the limits that they name.
+  Limited, ///< All usable targets are at limits that they name, or asked to
+           ///< wait.
   Usable
 };
 
@@ -71,8 +75,9 @@
 private:
   static bool isUsable(const ChoiceQuery &Query, const TargetPtr &Candidate,
                        TimePoint Now);
-  static bool isWithinRateLimit(const ChoiceQuery &Query,
-                                const TargetPtr &Candidate, TimePoint Now);
+  /** Whether the target itself wants a request now. */
+  static bool isWanted(const ChoiceQuery &Query, const TargetPtr &Candidate,
+                       TimePoint Now);
   double cost(const ChoiceQuery &Query, const Target &Candidate, TimePoint Now);
 
   ChoiceCosts m_Costs;
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -1,8 +1,10 @@
 #include "node/RoutedContext.h"
 
+#include "node/RoutedRequestRunner.h"
 #include "state/Event.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace figturn {
@@ -17,6 +19,10 @@
 /** Fraction of a cold target's request rate that is divided among the VMs. */
 constexpr double ShareableColdRequestFraction = 0.8;
 
+/** Relative change of this VM's share of the traffic at which its shares of
+ *  common limits are computed again. */
+constexpr double MinShareChange = 0.1;
+
 } // namespace
 
 RoutedContext::RoutedContext(const RoutedSettings &Settings,
@@ -29,8 +35,10 @@
                  const TargetObservation &Observation) {
             onObservation(Target, Observation, Clock::now());
           },
-          [this](Target &Source, const HttpHeaders &Headers, TimePoint SentAt,
-                 TimePoint Now) { onReply(Source, Headers, SentAt, Now); }),
+          [this](Target &Source, unsigned Status, const HttpHeaders &Headers,
+                 TimePoint SentAt, TimePoint Now) {
+            onReply(Source, Status, Headers, SentAt, Now);
+          }),
       m_Chooser(ChoiceCosts{}, Seed), m_ColdStartQuota(Settings.m_Vm),
       m_RetryAfterPolicy(RetryAfterOptions{}, Seed),
       m_QuotaMembers{Settings.m_Vm}, m_PhaseRandom(Seed) {}
@@ -47,6 +55,7 @@
               [this](const DataCentreName &DataCentre) {
                 return !m_Registry.isEvacuated(DataCentre);
               },
+          .m_MaxConnections = m_ConnectionPools.connectionShare(Service),
           .m_RateLimitShare = m_RateLimitShare,
           .m_TryAcquireColdCall = [](const Target &) { return false; }};
 }
@@ -91,8 +100,40 @@
     recordTargetDown(Target, "refused", Now);
 }
 
-void RoutedContext::onReply(Target &Source, const HttpHeaders &ReplyHeaders,
-                            TimePoint SentAt, TimePoint Now) {
+void RoutedContext::onReply(Target &Source, unsigned Status,
+                            const HttpHeaders &ReplyHeaders, TimePoint SentAt,
+                            TimePoint Now) {
+  applySignals(Source, Status, ReplyHeaders, Now);
+  applyRateLimit(Source, ReplyHeaders, SentAt, Now);
+}
+
+void RoutedContext::applySignals(Target &Source, unsigned Status,
+                                 const HttpHeaders &ReplyHeaders,
+                                 TimePoint Now) {
+  const TargetName &Name = Source.m_Entry.m_Instance.m_Name;
+  const ServiceName &Service = Source.m_Entry.m_Service;
+  const NamedWait Wait = decodeWait(Status, ReplyHeaders);
+  if (Wait.m_IsPresent && !Wait.m_Time) {
+    m_Metrics.addUnusableWait();
+    logEvent(Event::TargetWaitUnusable, "target={} service={}", Name, Service);
+  }
+  const TargetSignalChange Change = Source.m_Signals.onReply(
+      {.m_IsLeaving = decodeLeaving(ReplyHeaders, m_Headers),
+       .m_WaitTime = Wait.m_Time},
+      Now);
+  if (Change.m_StartedLeaving)
+    logEvent(Event::TargetLeaving, "target={} service={}", Name, Service);
+  if (!Change.m_StartedWait)
+    return;
+  logEvent(Event::TargetWaiting, "target={} service={} ms={}", Name, Service,
+           std::chrono::duration_cast<milliseconds>(*Wait.m_Time).count());
+  // They would be written as soon as a connection is free.
+  m_ConnectionPools.failUnsentCalls(Source);
+}
+
+void RoutedContext::applyRateLimit(Target &Source,
+                                   const HttpHeaders &ReplyHeaders,
+                                   TimePoint SentAt, TimePoint Now) {
   const NamedRateLimit Named = decodeRateLimit(ReplyHeaders, m_Headers);
   const TargetName &Name = Source.m_Entry.m_Instance.m_Name;
   if (Named.m_IsPresent && !Named.m_RequestsPerSecond) {
@@ -178,6 +219,15 @@
   updateAdmission(Now);
 }
 
+void RoutedContext::beginStop(TimePoint Now) {
+  m_StopDeadline.begin(
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(m_Settings.m_GraceSeconds)),
+      Now);
+  for (RoutedRequestRunner *Each : m_Runners)
+    Each->limitDeadline(*m_StopDeadline.answerBy(), Now);
+}
+
 void RoutedContext::setSettings(const RoutedSettings &Settings, TimePoint Now) {
   m_Settings = Settings;
   for (auto &[Service, Budget] : m_Budgets)
@@ -187,18 +237,21 @@
 
 void RoutedContext::updateShares(TimePoint Now) {
   m_QuotaMembers = m_Fleet.quotaMembers(Now);
+  m_TrafficShare = trafficShare(m_Fleet.self(), m_Fleet.quotaRecords(Now));
   m_RateLimitShare = m_Fleet.capacityShare(Now);
-  m_ExtraLoadShare =
-      extraLoadShare(ShareableExtraCallFraction * m_Settings.m_RetrySlack,
-                     m_QuotaMembers.size());
+  m_ExtraLoadShare = extraLoadShare(
+      ShareableExtraCallFraction * m_Settings.m_RetrySlack, m_TrafficShare);
   for (auto &[Service, Budget] : m_Budgets)
     Budget.setBurst(m_ExtraLoadShare.m_Burst);
   if (m_Config)
-    m_ConnectionPools.setConnectionShares(*m_Config, m_QuotaMembers.size());
+    m_ConnectionPools.setConnectionShares(*m_Config, m_TrafficShare);
 }
 
 void RoutedContext::updateAdmission(TimePoint Now) {
-  m_Admission.setFairShares(m_Registry, m_Fleet.serving(Now).size(), Now);
+  const double Share = trafficShare(m_Fleet.self(), m_Fleet.quotaRecords(Now));
+  if (std::abs(Share - m_TrafficShare) > MinShareChange * m_TrafficShare)
+    updateShares(Now);
+  m_Admission.setFairShares(m_Registry, Share, Now);
 }
 
 } // namespace figturn
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -8,11 +8,13 @@
 
 #include "coordination/ColdStartQuota.h"
 #include "coordination/CrashQuarantine.h"
+#include "coordination/DirectoryPolicy.h"
 #include "coordination/ExtraLoadBudget.h"
 #include "coordination/FleetView.h"
 #include "coordination/HedgeDelayEstimator.h"
 #include "coordination/HedgedRequest.h"
 #include "coordination/RetryAfterPolicy.h"
+#include "coordination/StopDeadline.h"
 #include "coordination/TargetChooser.h"
 #include "coordination/TargetRegistry.h"
 #include "coordination/WeightedRoundRobin.h"
@@ -31,6 +33,8 @@
 
 namespace figturn {
 
+class RoutedRequestRunner;
+
 /** Shared request state of a VM in routed mode. Not thread-safe. */
 class RoutedContext final : public HedgedRequestContext {
 public:
@@ -60,6 +64,13 @@
   /** Recomputes the admission limits from the targets and serving VMs. */
   void updateAdmission(TimePoint Now);
 
+  /** Starts a planned stop: brings the deadlines of running requests forward.
+   */
+  void beginStop(TimePoint Now);
+  const StopDeadline &stopDeadline() const { return m_StopDeadline; }
+  /** All existing runners; each enters and removes itself. */
+  std::set<RoutedRequestRunner *> &runners() { return m_Runners; }
+
   /** Applies changed settings. */
   void setSettings(const RoutedSettings &Settings, TimePoint Now);
 
@@ -88,8 +99,12 @@
                               TimePoint Now) const;
   void onObservation(const TargetInstance &Target,
                      const TargetObservation &Observation, TimePoint Now);
-  void onReply(Target &Source, const HttpHeaders &ReplyHeaders,
+  void onReply(Target &Source, unsigned Status, const HttpHeaders &ReplyHeaders,
                TimePoint SentAt, TimePoint Now);
+  void applySignals(Target &Source, unsigned Status,
+                    const HttpHeaders &ReplyHeaders, TimePoint Now);
+  void applyRateLimit(Target &Source, const HttpHeaders &ReplyHeaders,
+                      TimePoint SentAt, TimePoint Now);
   bool tryReserveColdStartQuota(const Target &Cold, TimePoint Now);
   ExtraLoadBudget &budget(const ServiceName &Service);
 
@@ -97,6 +112,9 @@
   RoutedHeaders m_Headers;
   FleetView &m_Fleet;
   RoutingConfigPtr m_Config;
+  StopDeadline m_StopDeadline;
+  /** Declared before the members that own runners. */
+  std::set<RoutedRequestRunner *> m_Runners;
   TargetRegistry m_Registry{TargetRegistryOptions{}};
   CrashQuarantine m_CrashQuarantine{CrashQuarantineOptions{}};
   TargetConnectionPools m_ConnectionPools;
@@ -108,6 +126,7 @@
   RoutedMetrics m_Metrics;
   std::vector<VmName> m_QuotaMembers;
   ExtraLoadShare m_ExtraLoadShare;
+  double m_TrafficShare = 1;
   double m_RateLimitShare = 1;
   std::minstd_rand m_PhaseRandom;
   std::map<ServiceName, ExtraLoadBudget> m_Budgets;
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -70,9 +70,8 @@
   const auto Found = m_Limits.find(Service);
   if (Found == m_Limits.end() || Found->second == 0)
     return DefaultMaxConnections;
-  const double Share =
-      ShareableConnectionFraction * static_cast<double>(Found->second) /
-      static_cast<double>(std::max<std::size_t>(1, m_SharingVmCount));
+  const double Share = ShareableConnectionFraction * m_ConnectionShare *
+                       static_cast<double>(Found->second);
   return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
 }
 
@@ -131,7 +130,7 @@
                   latencyRatio(Result.m_Latency, TypicalLatency), Now);
               // A misdirected call was answered by another target.
               if (!Result.m_Error && Outcome != CallOutcome::Misdirected)
-                m_OnReply(*Destination, Result.m_Headers,
+                m_OnReply(*Destination, Result.m_Status, Result.m_Headers,
                           Now - Result.m_Latency, Now);
               OnResult({.m_Outcome = Outcome,
                         .m_Status = Result.m_Status,
@@ -156,6 +155,12 @@
   return Found != m_Pools.end() && Found->second->withdraw(Call);
 }
 
+void TargetConnectionPools::failUnsentCalls(const Target &Destination) {
+  if (const auto Found = m_Pools.find(Destination.m_Entry.m_Instance);
+      Found != m_Pools.end())
+    Found->second->failUnsentCalls();
+}
+
 void TargetConnectionPools::ensureConnection(const TargetInstance &Target) {
   if (const auto Found = m_Pools.find(Target); Found != m_Pools.end())
     Found->second->warmUp(1);
@@ -176,8 +181,8 @@
 }
 
 void TargetConnectionPools::setConnectionShares(const RoutingConfig &Config,
-                                                std::size_t VmCount) {
-  m_SharingVmCount = VmCount;
+                                                double Share) {
+  m_ConnectionShare = Share;
   m_Limits.clear();
   for (const Route &Each : Config.routes()) {
     const auto SetLimit = [&](const ServiceName &Service) {
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -56,8 +56,9 @@
 
   /** Receives each complete reply of a target to a call sent at \p SentAt,
    *  before the call's result handler. */
-  using ReplyHandler = std::function<void(Target &, const HttpHeaders &,
-                                          TimePoint SentAt, TimePoint Now)>;
+  using ReplyHandler =
+      std::function<void(Target &, unsigned Status, const HttpHeaders &,
+                         TimePoint SentAt, TimePoint Now)>;
 
   TargetConnectionPools(std::string RequestIdHeader,
                         ObservationHandler OnObservation, ReplyHandler OnReply)
@@ -78,13 +79,19 @@
   void cancel(const TargetPtr &Destination, CallId Call);
   /** Cancels a call if no byte of it was written; otherwise returns false. */
   bool withdraw(const TargetPtr &Destination, CallId Call);
+  /** Ends the calls to \p Destination that no byte was written of; their
+   *  outcome is NotSent. */
+  void failUnsentCalls(const Target &Destination);
   /** Opens a connection to \p Target if its pool has none. */
   void ensureConnection(const TargetInstance &Target);
   /** Removes the pool of \p Removed; its outstanding calls still finish. */
   void removePool(const TargetPtr &Removed);
-  /** Divides the services' connection limits among \p VmCount VMs. */
-  void setConnectionShares(const RoutingConfig &Config, std::size_t VmCount);
+  /** Sets this VM's part, from 0 to 1, of the services' connection limits. */
+  void setConnectionShares(const RoutingConfig &Config, double Share);
 
+  /** Maximum number of connections of this VM to each target of \p Service.
+   */
+  std::size_t connectionShare(const ServiceName &Service) const;
   /** Number of connections, without those to removed targets. */
   std::size_t connections() const;
   /** Number of calls without a result, including those to removed targets. */
@@ -94,7 +101,6 @@
 
 private:
   TargetPool &findOrCreatePool(const TargetPtr &Destination);
-  std::size_t connectionShare(const ServiceName &Service) const;
   void removeDrainedPools();
 
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
@@ -107,7 +113,7 @@
   /** Pools of removed targets that still have outstanding calls. */
   std::vector<std::unique_ptr<TargetPool>> m_DrainingPools;
   std::map<ServiceName, std::size_t> m_Limits;
-  std::size_t m_SharingVmCount = 1;
+  double m_ConnectionShare = 1;
   std::uint64_t m_OpenedByRemovedPools = 0;
 };
 
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -19,6 +19,7 @@
   std::set<DataCentreName> m_DisallowedDataCentres;
   int m_ColdCallPermits = 0;
   bool m_SingleRun = false;
+  std::size_t m_MaxConnections = 100;
   TargetChooser m_Chooser{ChoiceCosts{}, 1};
 
   Target &home() { return *m_Targets[0]; }
@@ -32,6 +33,7 @@
              [this](const DataCentreName &DataCentre) {
                return !m_DisallowedDataCentres.contains(DataCentre);
              },
+         .m_MaxConnections = m_MaxConnections,
          .m_TryAcquireColdCall =
              [this](const Target &) { return m_ColdCallPermits-- > 0; }},
         Now);
@@ -141,8 +143,34 @@
       .m_Candidates = m_Targets,
       .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
   BOOST_TEST(
-      (TargetChooser::availability(Query, Start) == Availability::RateLimited));
+      (TargetChooser::availability(Query, Start) == Availability::Limited));
   BOOST_TEST(choose(Start + seconds(2)) != "none");
 }
 
+BOOST_AUTO_TEST_CASE(Replica_thatIsLeaving_isNeverChosen) {
+  home().m_Signals.onReply({.m_IsLeaving = true}, Start);
+  BOOST_TEST(countHomeChoices(Start + seconds(100)) == 0);
+  m_Targets.resize(1);
+  BOOST_TEST(choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(Replica_thatAskedToWait_isNotChosenUntilTheEnd) {
+  home().m_Signals.onReply({.m_WaitTime = seconds(2)}, Start);
+  BOOST_TEST(countHomeChoices(Start + milliseconds(1999)) == 0);
+  BOOST_TEST(countHomeChoices(Start + seconds(2)) == 100);
+  m_Targets.resize(1);
+  const ChoiceQuery Query{
+      .m_Candidates = m_Targets,
+      .m_IsDataCentreAllowed = [](const DataCentreName &) { return true; }};
+  BOOST_TEST(
+      (TargetChooser::availability(Query, Start) == Availability::Limited));
+}
+
+BOOST_AUTO_TEST_CASE(Replica_whoseConnectionsAreBusy_isAvoidedBeforeItsSlots) {
+  home().m_Load.begin(1, Start + seconds(1));
+  BOOST_TEST(countHomeChoices() == 100); // One of four slots is busy.
+  m_MaxConnections = 1;
+  BOOST_TEST(countHomeChoices() == 0); // A call would wait for the connection.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
