Answer connections that a stopping VM has not accepted yet

Cause: closing the listening socket resets the connections that the kernel has established and the program has not accepted; under load their requests are already there. Their callers saw a connection cut without an answer.

Change: stopListening() accepts them first. HttpServerTest blocks the listening worker while 50 callers connect and send, then stops listening: no request arrived before the change, all 50 are answered after it.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -88,6 +88,15 @@
     return Error;
   }
 
+  /** Takes over the connections that the kernel has established. They would be
+   *  reset with the listening socket, with their requests unanswered. */
+  void acceptPending() {
+    runOnWorker(ListenWorker, [this] {
+      if (m_Listener)
+        m_Listener->waitForNewConnection(0);
+    });
+  }
+
   void stopListening() {
     runOnWorker(ListenWorker, [this] { delete m_Listener.data(); });
   }
@@ -184,7 +193,10 @@
 
 std::uint16_t HttpServer::port() const { return m_Impl->m_Port; }
 
-void HttpServer::stopListening() { m_Impl->stopListening(); }
+void HttpServer::stopListening() {
+  m_Impl->acceptPending();
+  m_Impl->stopListening();
+}
 
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   HttpServerOptions &Options = m_Impl->m_State->m_Options;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -85,7 +85,8 @@
   /** Changes the limits. The pool must have a single worker, and this must be
    *  called on it. */
   void setLimits(const HttpServerLimits &Limits);
-  /** Closes the listening socket; open connections stay open. */
+  /** Closes the listening socket; open connections stay open, including those
+   *  that were established but not accepted yet. */
   void stopListening();
   /** From now on, closes each connection after its last pending answer. */
   void closeAfterAnswers();
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -235,6 +236,28 @@
   BOOST_TEST(server().pendingRequests() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(PlannedStop_withConnectionsNotAcceptedYet_answersThem) {
+  start();
+  std::promise<void> Blocked;
+  std::promise<void> Sent;
+  workers().post(0, [&] {
+    Blocked.set_value();
+    Sent.get_future().wait();
+    server().stopListening();
+  });
+  Blocked.get_future().wait();
+  std::vector<std::unique_ptr<RawClient>> Clients;
+  for (int I = 0; I < 50; ++I) {
+    Clients.push_back(std::make_unique<RawClient>(port()));
+    Clients.back()->send(serializePost("/a", "b"));
+  }
+  Sent.set_value();
+  for (std::size_t I = 0; I < Clients.size(); ++I)
+    nextExchange()->respond({.m_Body = "answer"});
+  for (const auto &Each : Clients)
+    BOOST_TEST(Each->receive().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(Connection_idle_isClosedCleanly) {
   start({.m_IdleTimeout = milliseconds(20)});
   RawClient Client(port());
