Replace only a listing that waits for its time by a copy

Cause, found on reading: a listing that had failed and was due again counted as delayed too, so a copy replaced it. A follower that started during an outage of the store then made no further call, and held the store for unreachable for good: unknown routes were refused with 503 instead of 404, and it was left out of the election of watchers.

Change: only the deliberate delay counts, and it ends with the first call. Tests: Follower_startedDuringAnOutage_findsTheStoreAgain and FirstListing_thatFailed_isNotReplacedByACopy failed before and pass now.

--- a/src/coordination/WatchSequence.cpp
+++ b/src/coordination/WatchSequence.cpp
@@ -12,11 +12,11 @@
 
 void WatchSequence::delayFirstListing(TimePoint Until) {
   m_Next.m_DueTime = Until;
+  m_IsFirstListingDelayed = true;
 }
 
 bool WatchSequence::isFirstListingDelayed(TimePoint Now) const {
-  return !m_Complete && isListing() && m_Next.m_ListAfter.empty() &&
-         Now < m_Next.m_DueTime;
+  return m_IsFirstListingDelayed && Now < m_Next.m_DueTime;
 }
 
 void WatchSequence::onCopied(std::uint64_t Revision, TimePoint Now) {
@@ -25,6 +25,7 @@
 
 void WatchSequence::onPage(std::uint64_t Revision, bool HasMore,
                            const std::string &LastName, TimePoint Now) {
+  m_IsFirstListingDelayed = false;
   m_ConsecutiveFailures = 0;
   if (m_Next.m_ListAfter.empty())
     m_ListRevision = Revision;
@@ -51,11 +52,13 @@
 void WatchSequence::onHistoryCompacted(TimePoint Now) { restart(Now); }
 
 void WatchSequence::restart(TimePoint Now) {
+  m_IsFirstListingDelayed = false;
   m_ConsecutiveFailures = 0;
   m_Next = {.m_Call = StoreCall::List, .m_DueTime = Now};
 }
 
 void WatchSequence::onFailure(TimePoint Now) {
+  m_IsFirstListingDelayed = false;
   constexpr std::uint32_t MaxDoublings = 6;
   const Duration MaxDelay = std::min<Duration>(
       m_Options.m_InitialBackoff *
--- a/src/coordination/WatchSequence.h
+++ b/src/coordination/WatchSequence.h
@@ -50,9 +50,10 @@
   /** The next call. */
   const WatchStep &next() const { return m_Next; }
 
-  /** Delays the first listing until \p Until. */
+  /** Delays the first listing until \p Until, if no call was made yet. */
   void delayFirstListing(TimePoint Until);
-  /** Whether the first listing is still delayed. */
+  /** Whether the first listing is still delayed; a listing that failed and is
+   *  due again is not. */
   bool isFirstListingDelayed(TimePoint Now) const;
   /** Replaces the first listing by another VM's copy of the objects as of
    *  \p Revision. */
@@ -84,6 +85,7 @@
   WatchStep m_Next;
   std::uint64_t m_ListRevision = 0; ///< Revision of the listing's first page.
   bool m_Complete = false;
+  bool m_IsFirstListingDelayed = false;
   std::uint32_t m_ConsecutiveFailures = 0;
 };
 
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -434,6 +434,21 @@
   Copying.stop();
 }
 
+BOOST_AUTO_TEST_CASE(Follower_startedDuringAnOutage_findsTheStoreAgain) {
+  startAndSettle();
+  const std::string Copy =
+      m_Synchronizer->exportState("config=0&targets=0&evacuated=0");
+  m_Synchronizer.reset();
+  m_Store->m_IsDown = true;
+  start();
+  processEventsUntil([&] { return !m_Synchronizer->isReachable(); });
+  m_Synchronizer->importState(Copy);
+  m_Synchronizer->setRole(StoreRole::Follower);
+  m_Store->m_IsDown = false;
+  processEventsUntil([&] { return m_Synchronizer->isReachable(); });
+  BOOST_TEST(m_Synchronizer->isCurrent());
+}
+
 BOOST_AUTO_TEST_CASE(FirstListing_withoutACopy_isReadAfterItsDelay) {
   RoutedSettings Settings;
   Settings.m_Vm = VmName("vm-2");
--- a/test/correctness/WatchSequenceTest.cpp
+++ b/test/correctness/WatchSequenceTest.cpp
@@ -102,6 +102,12 @@
   BOOST_TEST(m_Sequence.next().m_Revision == 40U);
 }
 
+BOOST_AUTO_TEST_CASE(FirstListing_thatFailed_isNotReplacedByACopy) {
+  m_Sequence.onFailure(Start);
+  BOOST_TEST((wait() > Duration(0)));
+  BOOST_TEST(!m_Sequence.isFirstListingDelayed(Start));
+}
+
 BOOST_AUTO_TEST_CASE(LaterListing_isNeverDelayed) {
   listAll();
   m_Sequence.restart(Start);
