--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for Source in review/[1-5]/case.cpp; do
+for Source in review/[1-5]/case.cc; do
   [ -e "$Source" ] || continue
   Case=$(basename "$(dirname "$Source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/support "$Source" \
--- a/review/support/harness.h
+++ b/review/support/harness.hh
@@ -68,9 +68,7 @@
 
 inline void note(const string &Text) { Record::get().line(Text); }
 
-inline void sleepMs(int Ms) {
-  std::this_thread::sleep_for(milliseconds(Ms));
-}
+inline void sleepMs(int Ms) { std::this_thread::sleep_for(milliseconds(Ms)); }
 
 inline string lower(string Text) {
   for (char &Each : Text)
@@ -142,8 +140,7 @@
     const auto End = SteadyClock::now() + milliseconds(TimeoutMs);
     const auto Left = [&] {
       return static_cast<int>(std::max<long long>(
-          0, std::chrono::duration_cast<milliseconds>(End -
-                                                      SteadyClock::now())
+          0, std::chrono::duration_cast<milliseconds>(End - SteadyClock::now())
                  .count()));
     };
     size_t HeadEnd;
@@ -189,8 +186,7 @@
           const string Target = Line.substr(One + 1, Two - One - 1);
           const size_t Mark = Target.find('?');
           Result.m_Path = Target.substr(0, Mark);
-          Result.m_Query =
-              Mark == string::npos ? "" : Target.substr(Mark + 1);
+          Result.m_Query = Mark == string::npos ? "" : Target.substr(Mark + 1);
         }
         continue;
       }
@@ -208,11 +204,12 @@
 
 using StreamPtr = std::shared_ptr<Stream>;
 
-inline sockaddr_in loopback(int Port) {
+/** \p Host numbers the addresses of loopback: 1 is 127.0.0.1. */
+inline sockaddr_in loopback(int Port, unsigned Host = 1) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(static_cast<uint16_t>(Port));
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK - 1 + Host);
   return Address;
 }
 
@@ -229,8 +226,7 @@
   for (int I = 0; I < Count; ++I) {
     const int Descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in Address = loopback(0);
-    ::bind(Descriptor, reinterpret_cast<sockaddr *>(&Address),
-           sizeof Address);
+    ::bind(Descriptor, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
     Ports.push_back(boundPort(Descriptor));
     Descriptors.push_back(Descriptor);
   }
@@ -239,9 +235,9 @@
   return Ports;
 }
 
-inline StreamPtr connectTo(int Port) {
+inline StreamPtr connectTo(int Port, unsigned Host = 1) {
   const int Descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = loopback(Port);
+  sockaddr_in Address = loopback(Port, Host);
   if (::connect(Descriptor, reinterpret_cast<sockaddr *>(&Address),
                 sizeof Address) != 0) {
     ::close(Descriptor);
@@ -271,19 +267,23 @@
     m_AcceptThread = std::thread([this] { acceptAll(); });
   }
   ~Server() { stop(); }
-  /** Ends the listener and all connections, as when a process ends. */
-  void stop() {
+  /** Ends the listener and all connections at once, as when a process ends. */
+  void halt() {
     if (m_Stopped.exchange(true))
       return;
     ::shutdown(m_Listener, SHUT_RDWR);
+    const std::lock_guard Lock(m_Mutex);
+    for (const auto &Each : m_Streams)
+      if (const auto Open = Each.lock())
+        Open->shutdown();
+  }
+  /** Halts and waits for the handlers that still run. */
+  void stop() {
+    halt();
+    if (!m_AcceptThread.joinable())
+      return;
     m_AcceptThread.join();
     ::close(m_Listener);
-    {
-      const std::lock_guard Lock(m_Mutex);
-      for (const auto &Each : m_Streams)
-        if (const auto Open = Each.lock())
-          Open->shutdown();
-    }
     for (std::thread &Each : m_Threads)
       Each.join();
   }
@@ -299,6 +299,8 @@
         return;
       auto Connection = std::make_shared<Stream>(Descriptor);
       const std::lock_guard Lock(m_Mutex);
+      if (m_Stopped)
+        return;
       m_Streams.push_back(Connection);
       m_Threads.emplace_back([this, Connection] {
         while (!m_Stopped) {
@@ -328,9 +330,10 @@
 /** The platform's metadata store: listings, watches and writes. */
 class Store {
 public:
-  Store() : m_Server([this](const Message &Request, Stream &Connection) {
-              return handle(Request, Connection);
-            }) {}
+  Store()
+      : m_Server([this](const Message &Request, Stream &Connection) {
+          return handle(Request, Connection);
+        }) {}
   string address() const { return m_Server.address(); }
   /** Creates or replaces an object; returns its revision. */
   unsigned long put(const string &Kind, const string &Name,
@@ -352,9 +355,8 @@
     if (Found == m_Objects[Kind].end())
       return m_Revision;
     ++m_Revision;
-    m_Changes.push_back(
-        {m_Revision, Kind, object(Name, m_Revision, Found->second.second),
-         true});
+    m_Changes.push_back({m_Revision, Kind,
+                         object(Name, m_Revision, Found->second.second), true});
     m_Objects[Kind].erase(Found);
     m_Changed.notify_all();
     note("store: removed " + Kind + "/" + Name + " revision " +
@@ -379,8 +381,8 @@
   };
   static string object(const string &Name, unsigned long Revision,
                        const string &Spec) {
-    return R"({"meta":{"name":")" + Name +
-           R"(","revision":)" + std::to_string(Revision) +
+    return R"({"meta":{"name":")" + Name + R"(","revision":)" +
+           std::to_string(Revision) +
            R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" + Spec +
            R"(,"status":null})";
   }
@@ -407,10 +409,10 @@
         Items += (Items.empty() ? "" : ",") + Each.first;
       Revision = m_Revision;
     }
-    return Connection.write(
-        response(200, "Content-Type: application/json\r\n",
-                 R"({"items":[)" + Items + R"(],"more":false,"current_rev":)" +
-                     std::to_string(Revision) + "}"));
+    return Connection.write(response(200, "Content-Type: application/json\r\n",
+                                     R"({"items":[)" + Items +
+                                         R"(],"more":false,"current_rev":)" +
+                                         std::to_string(Revision) + "}"));
   }
   bool watch(const string &Kind, const Message &Request, Stream &Connection) {
     const unsigned long After =
@@ -432,10 +434,10 @@
       m_Changed.wait_for(Lock, milliseconds(WaitMs), Collect);
       Revision = m_Revision;
     }
-    return Connection.write(
-        response(200, "Content-Type: application/json\r\n",
-                 R"({"events":[)" + Events + R"(],"current_rev":)" +
-                     std::to_string(Revision) + "}"));
+    return Connection.write(response(200, "Content-Type: application/json\r\n",
+                                     R"({"events":[)" + Events +
+                                         R"(],"current_rev":)" +
+                                         std::to_string(Revision) + "}"));
   }
   bool write(const string &Kind, string Name, const Message &Request,
              Stream &Connection) {
@@ -471,37 +473,52 @@
   Server m_Server;
 };
 
+/** Place of an entry VM in a fleet. */
+struct VmPlace {
+  string m_Zone = "zone-a";
+  unsigned m_Host = 1;  ///< Its address, 127.0.0.m_Host.
+  int m_GossipPort = 0; ///< The same on all VMs; 0: any free port.
+  string m_Seed;        ///< Control address of another VM, if any.
+};
+
 /** One entry VM, run by the command of the deploy file. */
 class EntryVm {
 public:
   /** \p Folder is a temporary folder for its settings and output. */
   EntryVm(const string &Name, const string &Folder, const string &StoreAddress,
-          double GraceSeconds = 6)
-      : m_Name(Name), m_Folder(Folder) {
-    const std::vector<int> Ports = freePorts(6);
+          const VmPlace &Place = {})
+      : m_Name(Name), m_Folder(Folder), m_Host(Place.m_Host) {
+    std::vector<int> Ports = freePorts(6);
+    if (Place.m_GossipPort != 0)
+      Ports[4] = Place.m_GossipPort;
     m_CallerPort = Ports[0];
     m_ReadinessPort = Ports[1];
     m_DirectoryPort = Ports[2];
     m_ControlPort = Ports[3];
-    const auto At = [](int Port) {
-      return "\"127.0.0.1:" + std::to_string(Port) + "\"";
+    const auto At = [this](int Port) {
+      return "\"127.0.0." + std::to_string(m_Host) + ":" +
+             std::to_string(Port) + "\"";
     };
-    std::ofstream(settings()) << R"({"door": "routed", "vm": ")" << Name
-      << R"(", "dataCentre": "zone-a", "callerAddress": )" << At(Ports[0])
-      << R"(, "readinessAddress": )" << At(Ports[1])
-      << R"(, "directoryAddress": )" << At(Ports[2])
-      << R"(, "controlAddress": )" << At(Ports[3])
-      << R"(, "gossipAddress": )" << At(Ports[4])
-      << R"(, "metricsAddress": )" << At(Ports[5])
-      << R"(, "storeAddress": ")" << StoreAddress
-      << R"(", "seeds": )" << At(Ports[3])
-      << R"(, "cpuShare": 1, "cores": 1, "descriptors": 2870, "graceSeconds": )"
-      << GraceSeconds
-      << R"(, "retryRatio": 0.2, "retrySlack": 116, "coldMultiplier": 1.5,)"
-      << R"( "coldSlack": 5, "firstListDelaySeconds": 0,)"
-      << R"( "directoryTtlSeconds": 5})" << std::endl;
+    std::ofstream(settings())
+        << R"({"door": "routed", "vm": ")" << Name << R"(", "dataCentre": ")"
+        << Place.m_Zone << R"(", "callerAddress": )" << At(Ports[0])
+        << R"(, "readinessAddress": )" << At(Ports[1])
+        << R"(, "directoryAddress": )" << At(Ports[2])
+        << R"(, "controlAddress": )" << At(Ports[3]) << R"(, "gossipAddress": )"
+        << At(Ports[4]) << R"(, "metricsAddress": )" << At(Ports[5])
+        << R"(, "storeAddress": ")" << StoreAddress << R"(", "seeds": )"
+        << (Place.m_Seed.empty() ? At(Ports[3]) : '"' + Place.m_Seed + '"')
+        << R"(, "cpuShare": 1, "cores": 1, "descriptors": 2870,)"
+        << R"( "graceSeconds": 6, "retryRatio": 0.2, "retrySlack": 116, "coldMultiplier": 1.5,)"
+        << R"( "coldSlack": 5, "firstListDelaySeconds": 0,)"
+        << R"( "directoryTtlSeconds": 5})" << std::endl;
   }
   ~EntryVm() { end(); }
+  string controlAddress() const {
+    return "127.0.0." + std::to_string(m_Host) + ":" +
+           std::to_string(m_ControlPort);
+  }
+  StreamPtr connect() const { return connectTo(m_CallerPort, m_Host); }
   string settings() const { return m_Folder + "/" + m_Name + ".json"; }
   string output() const { return m_Folder + "/" + m_Name + ".log"; }
   bool start() {
@@ -511,8 +528,8 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (::getppid() != Parent)
         ::_exit(1);
-      const int Output = ::open(output().c_str(),
-                                O_CREAT | O_WRONLY | O_APPEND, 0644);
+      const int Output =
+          ::open(output().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       ::dup2(Output, 1);
       ::dup2(Output, 2);
       ::setenv("QT_NO_GLIB", "1", 1);
@@ -536,7 +553,7 @@
     return false;
   }
   bool isReady() const {
-    const auto Connection = connectTo(m_ReadinessPort);
+    const auto Connection = connectTo(m_ReadinessPort, m_Host);
     if (!Connection)
       return false;
     Connection->write("GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -572,6 +589,7 @@
 private:
   string m_Name;
   string m_Folder;
+  unsigned m_Host;
   pid_t m_Pid = -1;
 };
 
@@ -614,12 +632,14 @@
   long long m_BornMs = 0;
   int m_Slots = 4;
   int m_Sequence = 1;
+  string m_Zone = "zone-a";
+  int m_ColdRemainingMs = 0;
   string text() const {
     return R"({"service":")" + m_Service + R"(","address":")" + m_Address +
-           R"(","zone":"zone-a","version":"v1","slots":)" +
+           R"(","zone":")" + m_Zone + R"(","version":"v1","slots":)" +
            std::to_string(m_Slots) + R"(,"state":")" + m_State +
-           R"(","cold_remaining_ms":0,"sequence":)" +
-           std::to_string(m_Sequence) + R"(,"born":)" +
+           R"(","cold_remaining_ms":)" + std::to_string(m_ColdRemainingMs) +
+           R"(,"sequence":)" + std::to_string(m_Sequence) + R"(,"born":)" +
            std::to_string(m_BornMs) + "}";
   }
 };
