Reject replies with a status that HTTP doesn't define

The look-up wasn't tried at another target, though it may be repeated.

Cause: the parser accepts any three digits as a status, and HttpReplyReader took what the parser accepts for HTTP.

Now a reply with a status outside 100 to 599 fails like any malformed reply, in both modes: its call has the outcome "failed", is repeated at another target if it may be, and else ends with 502. To tell a malformed reply from a failure that a target reported, call-failed lines name the error.

--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -209,9 +209,11 @@
     m_Context.hedgeDelayEstimator(route()).record(Result.m_Latency, Now);
   else if (Outcome != CallOutcome::Abandoned)
     logEvent(Event::CallFailed,
-             "id={} service={} target={} outcome={} status={} ms={:.1f}",
+             "id={} service={} target={} outcome={} error={} status={} "
+             "ms={:.1f}",
              m_Options.m_RequestId, Calls.m_Service,
              Source->m_Entry.m_Instance.m_Name, callOutcomeName(Outcome),
+             Result.m_Error ? Result.m_Error.message() : "none",
              Result.m_Status, toMilliseconds(Result.m_Latency));
   m_Context.admission().onCallFinished(m_AdmissionDomain, route(), Outcome,
                                        Result.m_Latency, Now);
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -133,6 +133,7 @@
                 m_OnReply(*Destination, Result.m_Status, Result.m_Headers,
                           Now - Result.m_Latency, Now);
               OnResult({.m_Outcome = Outcome,
+                        .m_Error = Result.m_Error,
                         .m_Status = Result.m_Status,
                         .m_Headers = std::move(Result.m_Headers),
                         .m_Body = std::move(Result.m_Body),
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <system_error>
 
 namespace figturn {
 
@@ -36,6 +37,8 @@
 /** How a call ended. */
 struct PooledCallResult {
   CallOutcome m_Outcome = CallOutcome::Lost;
+  std::error_code
+      m_Error; ///< Why there is no complete reply, if there is none.
   unsigned m_Status = 0;
   HttpHeaders m_Headers;
   std::string m_Body;
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -24,6 +24,15 @@
 /** Maximum bytes of a reply's head, and of any line of a reply. */
 constexpr std::size_t ReplyHeadLimit = 65536;
 
+/** The statuses that HTTP defines (RFC 9110, section 15). The parser accepts
+ *  any three digits. */
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
+bool isHttpStatus(unsigned Status) {
+  return Status >= MinStatus && Status <= MaxStatus;
+}
+
 beast::string_view toBeastView(std::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -180,7 +189,10 @@
   // a line, which may have no end.
   const bool IsLineTooLong = !m_Parser->m_Parser.is_done() &&
                              Bytes.size() - Consumed >= ReplyHeadLimit;
-  m_Failed = m_Failed || Error || IsLineTooLong;
+  const bool IsStatusInvalid =
+      m_Parser->m_Parser.is_header_done() &&
+      !isHttpStatus(m_Parser->m_Parser.get().result_int());
+  m_Failed = m_Failed || Error || IsLineTooLong || IsStatusInvalid;
   return Consumed;
 }
 
--- a/test/correctness/ForeignTargetPoolTest.cpp
+++ b/test/correctness/ForeignTargetPoolTest.cpp
@@ -240,6 +240,29 @@
     }
 }
 
+// Callers got "HTTP/1.1 000" without a length for a reply whose status had lost
+// its first digit.
+BOOST_AUTO_TEST_CASE(Reply_withAStatusThatHttpLacks_isABadReply) {
+  std::string Status;
+  m_OnRequest = [&Status](const SimpleHttpRequest &Request,
+                          SimpleHttpResponder Reply) {
+    Reply.sendRaw("HTTP/1.1 " + Status + " X\r\n" + requestIdHeader(Request) +
+                  "Content-Length: 2\r\n\r\nok");
+  };
+  std::uint64_t Id = 0;
+  for (const char *Invalid : {"000", "020", "099", "600", "999"}) {
+    Status = Invalid;
+    send(++Id, seconds(2));
+    BOOST_TEST((result(Id).m_Error == Errc::BadReply), Status);
+    BOOST_TEST((result(Id).m_Verdict == RunVerdict::MayHaveRun), Status);
+  }
+  for (const char *Valid : {"200", "404", "599"}) {
+    Status = Valid;
+    send(++Id);
+    BOOST_TEST(result(Id).m_Status == std::stoul(Status));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Reply_withoutEnd_isAbandonedBeforeTheDeadline) {
   struct Case {
     std::string m_Start;
--- a/test/correctness/TargetPoolTest.cpp
+++ b/test/correctness/TargetPoolTest.cpp
@@ -177,6 +177,7 @@
   std::uint64_t Id = 0;
   for (const std::string &Bytes :
        {std::string("what is this\r\n\r\n"),
+        std::string("HTTP/1.1 020 OK\r\nContent-Length: 0\r\n\r\n"),
         serializeResponse({.m_Body = std::string(101, 'x')}, {})}) {
     send(call(++Id));
     m_Target.nextRequest().m_Connection->sendBytes(Bytes);
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -166,6 +166,25 @@
   BOOST_TEST(book("b-3").m_Status == 502U);
 }
 
+// The caller got the malformed reply of a target.
+BOOST_AUTO_TEST_CASE(Reply_withAStatusThatHttpLacks_isNotForwarded) {
+  setRunHandler(
+      *m_Desk, [](const SimpleHttpRequest &Request, SimpleHttpResponder Reply) {
+        Reply.sendRaw("HTTP/1.1 000 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " +
+                      Request.header("x-request-id") +
+                      "\r\nContent-Length: 2\r\n\r\nok");
+      });
+  const RoutedAnswer Answer = get("/look/x");
+  BOOST_TEST(Answer.m_Status == 502U);
+  BOOST_TEST(Answer.header("X-Server-Stamp").empty());
+  const std::size_t Line = m_Vm->m_Process->lines().size();
+  SearcherStandin &Other = m_Fleet.addSearcher("i-desk-2", "desk");
+  BOOST_REQUIRE(
+      m_Vm->m_Process->waitForLine("F0613", "added=1", Line).has_value());
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST(get("/look/x", "q-" + std::to_string(I)).m_Body == Other.m_Body);
+}
+
 BOOST_AUTO_TEST_CASE(Reply_withoutContentLength_endsAtConnectionClose) {
   setRunHandler(
       *m_Desk, [](const SimpleHttpRequest &Request, SimpleHttpResponder Reply) {
