Count crashes that may have one cause once

Cause: CrashQuarantine counted each target that a request was lost at as a crash of its own, as if targets crashed independently. A search has a call at each shard, so one outage reached the limit of three at once; so did attempts in progress at the same time, and the sum over VMs that saw the same outage. Ruled out: that losses at different moments add up for lack of an answer between them.

An attempt now adds evidence only if it began after the previous crash that its VM recorded, and crashes of several VMs within one second count once. Records name the VM (a new field; records of older releases count as one VM's) and keep the time of the lost call: before, each return of a record by a peer moved it later and prolonged the quarantine. A request that does crash its targets still adds a crash with each attempt, at one VM as soon as the one before has ended. The price: a search that crashes its targets runs three times before it is refused.

--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -29,6 +29,7 @@
                              RoutedHeaders Headers, FleetView &Fleet,
                              std::uint32_t Seed)
     : m_Settings(Settings), m_Headers(std::move(Headers)), m_Fleet(Fleet),
+      m_CrashQuarantine({.m_Self = Settings.m_Vm}),
       m_ConnectionPools(
           m_Headers.m_RequestId,
           [this](const TargetInstance &Target,
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -116,7 +116,7 @@
   /** Declared before the members that own runners. */
   std::set<RoutedRequestRunner *> m_Runners;
   TargetRegistry m_Registry{TargetRegistryOptions{}};
-  CrashQuarantine m_CrashQuarantine{CrashQuarantineOptions{}};
+  CrashQuarantine m_CrashQuarantine;
   TargetConnectionPools m_ConnectionPools;
   TimerQueue m_Timers;
   RequestAdmission m_Admission{m_Timers};
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -249,7 +249,10 @@
   CrashQuarantine &Crashes = m_Context.crashQuarantine();
   if (Result.m_Outcome == CallOutcome::Lost) {
     ++m_LostCalls;
-    Crashes.onCallLost(fingerprint(), Source->m_Entry.m_Instance, Now);
+    Crashes.onCallLost({.m_Request = fingerprint(),
+                        .m_Target = Source->m_Entry.m_Instance,
+                        .m_AttemptStartedAt = *m_AdmittedAt},
+                       Now);
     return m_HasTargetReply || m_LostCalls < MaxLostCallsWithoutReply;
   }
   if (Result.m_Status != 0 && Result.m_Outcome != CallOutcome::Refused &&
--- a/src/protocol/Gossip.capnp
+++ b/src/protocol/Gossip.capnp
@@ -43,6 +43,8 @@
   # Identifies one process instance of the target.
   leftMs @2 :UInt32;
   # Remaining validity of the record.
+  vm @3 :UInt32;
+  # Identifies the VM that recorded the crash.
 }
 
 struct Gossip {
--- a/src/protocol/GossipCodec.cpp
+++ b/src/protocol/GossipCodec.cpp
@@ -86,6 +86,7 @@
     const CrashRecord &Crash = Payload.m_Crashes[I];
     Crashes[I].setRequest(Crash.m_Request.value());
     Crashes[I].setTarget(Crash.m_Target);
+    Crashes[I].setVm(Crash.m_Vm);
     Crashes[I].setLeftMs(static_cast<std::uint32_t>(Crash.m_Remaining.count()));
   }
   kj::VectorOutputStream Output;
@@ -119,6 +120,7 @@
       Payload.m_Crashes.push_back(
           {.m_Request = Fingerprint(Crash.getRequest()),
            .m_Target = Crash.getTarget(),
+           .m_Vm = Crash.getVm(),
            .m_Remaining = milliseconds(Crash.getLeftMs())});
   });
   if (Failure != nullptr || Payload.m_Records.empty())
--- a/test/correctness/FleetViewTest.cpp
+++ b/test/correctness/FleetViewTest.cpp
@@ -243,7 +243,10 @@
   for (int Target = 0; Target < 3; ++Target) {
     const TargetInstance Crashed{.m_Name =
                                      TargetName("t-" + std::to_string(Target))};
-    crashes(9).onCallLost(CrashingRequest, Crashed, m_Now);
+    crashes(9).onCallLost({.m_Request = CrashingRequest,
+                           .m_Target = Crashed,
+                           .m_AttemptStartedAt = m_Now},
+                          m_Now);
     crashes(9).onTargetDown(Crashed, m_Now);
   }
   runRounds(10); // 4 s, the shortest specified stability window.
--- a/test/correctness/GossipCodecTest.cpp
+++ b/test/correctness/GossipCodecTest.cpp
@@ -66,6 +66,7 @@
     Payload.m_Crashes.push_back(
         {.m_Request = Fingerprint(Random()),
          .m_Target = static_cast<std::uint32_t>(Random()),
+         .m_Vm = static_cast<std::uint32_t>(Random()),
          .m_Remaining = std::chrono::minutes(10)});
   const std::string Bytes = encodeGossip(Payload);
   BOOST_TEST(Bytes.size() <= MaxUnfragmentedPayload);
