Count concurrent crashes of a known good search once

The loss of a data centre's targets quarantined each search that was running there for ten minutes.

CanaryRegistry now counts crashes of calls without a canary within one second of another crash once; the search then needs a canary again, so that a search that does crash its targets is quarantined by the next canary. Crashes of canaries, which run alone, count as before.

Before: CanaryRegistryTest KnownGoodRequest_losingSeveralTargetsAtOnce_countsOnce failed (quarantined, where a canary is expected). After: all cases pass, and TargetFaultsTest, whose bound of two crashes is unchanged.

--- a/src/coordination/CanaryRegistry.cpp
+++ b/src/coordination/CanaryRegistry.cpp
@@ -35,8 +35,11 @@
                                                   TimePoint Now) {
   if (Canary != 0 && !finishCanary(Request, Canary))
     return std::nullopt;
-  if (Outcome == CanaryOutcome::Crashed)
+  if (Outcome == CanaryOutcome::Crashed) {
+    if (Canary == 0 && hasRecentCrash(Request, Now))
+      return std::nullopt;
     return countCrash(Request, Now);
+  }
   if (Outcome == CanaryOutcome::Ok && Canary != 0 &&
       !quarantineRemaining(Request, Now)) {
     m_Suspects.erase(Request);
@@ -122,10 +125,17 @@
   return WasPending;
 }
 
+bool CanaryRegistry::hasRecentCrash(Fingerprint Request, TimePoint Now) const {
+  const auto Found = m_Suspects.find(Request);
+  return Found != m_Suspects.end() && Found->second.m_Crashes > 0 &&
+         Now < Found->second.m_LastCrashAt + m_Options.m_CommonCauseWindow;
+}
+
 CrashNotice CanaryRegistry::countCrash(Fingerprint Request, TimePoint Now) {
   removeKnownGood(Request);
   Suspect &Known = findOrAddSuspect(Request, Now);
   ++Known.m_Crashes;
+  Known.m_LastCrashAt = Now;
   Known.m_Until = Now + m_Options.m_QuarantineDuration;
   return {.m_Fingerprint = Request,
           .m_Crashes = Known.m_Crashes,
@@ -150,7 +160,7 @@
                          });
     m_Suspects.erase(Earliest);
   }
-  return m_Suspects.try_emplace(Request, Suspect{0, Now}).first->second;
+  return m_Suspects.try_emplace(Request, Suspect{.m_Until = Now}).first->second;
 }
 
 } // namespace figturn
--- a/src/coordination/CanaryRegistry.h
+++ b/src/coordination/CanaryRegistry.h
@@ -30,6 +30,10 @@
 struct CanaryRegistryOptions {
   /** Crashes after which a fingerprint is quarantined. */
   std::uint32_t m_CrashLimit = 2;
+  /** Crashes of calls without a canary within this time of another crash of the
+   *  request are not counted: they run concurrently, and one outage may have
+   *  ended them all. */
+  Duration m_CommonCauseWindow = seconds(1);
   Duration m_QuarantineDuration = std::chrono::minutes(10);
   /** A canary not reported within this time is considered lost. */
   Duration m_CanaryTimeout = seconds(4);
@@ -84,8 +88,9 @@
 
   /** At the owner VM: records how a run of \p Request ended. \p Canary is the
    *  number from the reply to ask(), or 0 for a request that ran as known good.
-   *  Each canary is counted once. Returns a notice to send to all peers if a
-   *  crash was counted. */
+   *  Each canary is counted once, and so are crashes of calls without a canary
+   *  that come close together. Returns a notice to send to all peers if a crash
+   *  was counted. */
   std::optional<CrashNotice> report(Fingerprint Request, std::uint64_t Canary,
                                     CanaryOutcome Outcome, TimePoint Now);
 
@@ -105,6 +110,7 @@
   struct Suspect {
     std::uint32_t m_Crashes = 0;
     TimePoint m_Until; ///< End of the quarantine, if there are enough crashes.
+    TimePoint m_LastCrashAt; ///< Last crash counted here.
   };
   struct Canary {
     std::uint64_t m_Number;
@@ -117,6 +123,7 @@
   void removeKnownGood(Fingerprint Request);
   CanaryAnswer startCanary(Fingerprint Request, TimePoint Now);
   bool finishCanary(Fingerprint Request, std::uint64_t Number);
+  bool hasRecentCrash(Fingerprint Request, TimePoint Now) const;
   CrashNotice countCrash(Fingerprint Request, TimePoint Now);
   Suspect &findOrAddSuspect(Fingerprint Request, TimePoint Now);
 
--- a/test/correctness/CanaryRegistryTest.cpp
+++ b/test/correctness/CanaryRegistryTest.cpp
@@ -83,6 +83,23 @@
   BOOST_TEST((ask() == CanaryVerdict::Proceed));
 }
 
+// Calls of a known good search are sent to all shards at once; the loss of a
+// data centre's targets quarantined each search that was running there.
+BOOST_AUTO_TEST_CASE(KnownGoodRequest_losingSeveralTargetsAtOnce_countsOnce) {
+  run(CanaryOutcome::Ok);
+  for (int Target = 0; Target < 10; ++Target)
+    m_Owner.report(Poison, 0, CanaryOutcome::Crashed, at(milliseconds(Target)));
+  BOOST_TEST(!run(CanaryOutcome::Ok, Poison, milliseconds(20)).has_value());
+  BOOST_TEST((ask() == CanaryVerdict::KnownGood));
+}
+
+BOOST_AUTO_TEST_CASE(KnownGoodRequest_crashingAgainAsACanary_isQuarantined) {
+  run(CanaryOutcome::Ok);
+  m_Owner.report(Poison, 0, CanaryOutcome::Crashed, at(seconds(0)));
+  run(CanaryOutcome::Crashed, Poison, milliseconds(20));
+  BOOST_TEST((ask(Poison, milliseconds(20)) == CanaryVerdict::Quarantined));
+}
+
 BOOST_AUTO_TEST_CASE(Quarantine_receivedFromAPeer_appliesUntilItsEnd) {
   run(CanaryOutcome::Ok);
   m_Owner.onCrashNotice({Poison, 2, seconds(60)}, at(seconds(0)));
