Bound the memory of all replies that are being received

Operators of a similar system reported that a faulty target sent bytes without end until the machine that had called it ran out of memory. It can happen here: each reply was bounded (8 MiB a body), but not all of them together, so that a few targets with a share of 18 connections each could take several times the 112 MB of the smallest VMs, and end all requests there.

ReplyMemory counts the bytes of incomplete replies over all connections to targets of a process, in both modes. Beyond 32 MiB, a reply of more than 64 KiB is dropped and its call has failed; shorter ones are always received. F0602 names the target's address.

Before: RoutedFrontendTest Replies_withoutEnd_leaveMemoryForOtherRequests failed (peak resident memory 262,733,824 bytes, 117,440,512 allowed).

--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -89,6 +89,7 @@
                           .m_ConnectTimeout = ConnectTimeout,
                           .m_SilenceThreshold = SilenceThreshold,
                           .m_IdleTimeout = IdleTimeout,
+                          .m_ReplyMemory = m_ReplyMemory,
                           .m_UsesFigturnProtocol = false,
                           .m_RequestIdHeader = m_RequestIdHeader,
                           .m_KeepAliveInterval = KeepAliveInterval,
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -110,6 +110,7 @@
   std::string m_RequestIdHeader;
   ObservationHandler m_OnObservation;
   ReplyHandler m_OnReply;
+  std::shared_ptr<ReplyMemory> m_ReplyMemory = std::make_shared<ReplyMemory>();
   CallIdAllocator m_CallIds{CallId(1)};
   std::map<TargetInstance, std::unique_ptr<TargetPool>> m_Pools;
   std::map<TargetInstance, ServiceName> m_Services;
--- a/src/node/TargetDispatcher.cpp
+++ b/src/node/TargetDispatcher.cpp
@@ -69,6 +69,7 @@
             .m_Membership = m_Membership,
             .m_Status = m_Status,
             .m_Peers = m_Peers,
+            .m_ReplyMemory = m_ReplyMemory,
             .m_SendRegressNotice = m_SendRegressNotice,
             .m_Post = [this, Worker](std::function<void()> Task) {
               m_Workers.post(Worker, std::move(Task));
--- a/src/node/TargetDispatcher.h
+++ b/src/node/TargetDispatcher.h
@@ -75,6 +75,7 @@
                        std::function<void()> OnDone);
 
   VmName m_Self;
+  std::shared_ptr<ReplyMemory> m_ReplyMemory = std::make_shared<ReplyMemory>();
   WorkerPool &m_Workers;
   RoutingTable &m_Routing;
   MembershipTable &m_Membership;
--- a/src/node/TargetRunner.cpp
+++ b/src/node/TargetRunner.cpp
@@ -24,12 +24,14 @@
 constexpr milliseconds PeerReplyMargin{50};
 
 TargetPoolOptions poolOptions(const TargetName &Target,
-                              const TargetConfig &Config) {
+                              const TargetConfig &Config,
+                              std::shared_ptr<ReplyMemory> Memory) {
   const std::uint32_t Share = Config.m_ConnectionLimit / MaxVmsPerTarget;
   return {.m_Target = Target,
           .m_Host = Config.m_Host,
           .m_Port = Config.m_Port,
-          .m_MaxConnections = std::max(MinConnections, Share)};
+          .m_MaxConnections = std::max(MinConnections, Share),
+          .m_ReplyMemory = std::move(Memory)};
 }
 
 ColdStartRampOptions rampOptions(const TargetConfig &Config) {
@@ -74,7 +76,7 @@
     : m_Target(Target), m_Config(Config), m_Context(std::move(Context)),
       m_Ownership(m_Context.m_Self),
       m_Gate({}, rampOptions(Config), Target, m_Context.m_Self),
-      m_Pool(poolOptions(Target, Config),
+      m_Pool(poolOptions(Target, Config, m_Context.m_ReplyMemory),
              [this](const TargetObservation &Observation) {
                onObservation(Observation);
              }) {
--- a/src/node/TargetRunner.h
+++ b/src/node/TargetRunner.h
@@ -31,6 +31,7 @@
   MembershipTable &m_Membership;
   TargetStatusTable &m_Status;
   PeerNetwork &m_Peers;
+  std::shared_ptr<ReplyMemory> m_ReplyMemory; ///< Shared by all runners.
   /** Notifies the authority immediately that a target is cold. */
   std::function<void(const VmName &Authority, RegressNotice)>
       m_SendRegressNotice;
--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -208,6 +208,10 @@
   return m_Parser && !m_Failed && m_Parser->m_Parser.is_done();
 }
 
+std::size_t HttpReplyReader::bodySize() const {
+  return m_Parser ? m_Parser->m_Parser.get().body().size() : 0;
+}
+
 HttpReply HttpReplyReader::takeMessage() {
   auto Message = m_Parser->m_Parser.release();
   m_Parser.reset();
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -84,6 +84,8 @@
   bool isComplete() const;
   /** Whether the input is malformed, truncated or exceeds a size limit. */
   bool hasFailed() const { return m_Failed; }
+  /** Number of body bytes of the current reply that are held. */
+  std::size_t bodySize() const;
   /** Returns the complete reply and prepares for the next one. */
   HttpReply takeMessage();
 
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -1,6 +1,7 @@
 #include "transport/TargetConnection.h"
 
 #include "state/Errc.h"
+#include "state/Event.h"
 
 #include <utility>
 
@@ -96,9 +97,16 @@
       reportLost(Errc::BadReply);
       return;
     }
-    if (!m_Reader.isComplete())
+    if (!m_Reader.isComplete()) {
+      if (!updateHeldBytes()) {
+        logEvent(Event::ReplyMemoryFull, "target_address={} bytes={}",
+                 m_Endpoint.m_HostHeader, m_HeldBytes);
+        reportLost(Errc::BadReply);
+      }
       return;
+    }
     HttpReply Reply = m_Reader.takeMessage();
+    updateHeldBytes();
     if (isInterim(Reply) || isForeignReply(Reply)) {
       m_ReceivedForeignReply = m_ReceivedForeignReply || !isInterim(Reply);
       if (++m_SkippedReplies <= MaxSkippedReplies)
@@ -128,6 +136,13 @@
   }
 }
 
+bool TargetConnection::updateHeldBytes() {
+  const std::size_t Before = std::exchange(
+      m_HeldBytes,
+      m_Closed ? 0 : m_Reader.bodySize() + m_Socket.input().size());
+  return m_Endpoint.m_ReplyMemory->resize(Before, m_HeldBytes);
+}
+
 void TargetConnection::onSocketClosed(StreamCloseReason Reason) {
   if (m_Closed)
     return;
@@ -162,6 +177,7 @@
 
 void TargetConnection::close() {
   m_Closed = true;
+  updateHeldBytes();
   m_Socket.close();
 }
 
--- a/src/transport/TargetConnection.h
+++ b/src/transport/TargetConnection.h
@@ -10,11 +10,13 @@
 #include "state/Ids.h"
 #include "state/Time.h"
 #include "transport/HttpCodec.h"
+#include "transport/ReplyMemory.h"
 #include "transport/StreamSocket.h"
 
 #include <QHostAddress>
 #include <QObject>
 
+#include <memory>
 #include <string>
 #include <system_error>
 
@@ -26,6 +28,8 @@
   std::uint16_t m_Port = 0;
   std::string m_HostHeader;
   std::size_t m_ReplyLimit = 0; ///< Maximum bytes of a reply body.
+  /** Shared by all connections of the process; never null. */
+  std::shared_ptr<ReplyMemory> m_ReplyMemory;
   StreamTimeouts m_Timeouts;
   /** Whether a hello request precedes the first exchange. */
   bool m_SendsHello = true;
@@ -86,6 +90,9 @@
   void onSocketClosed(StreamCloseReason Reason);
   void parseReplies();
   bool isForeignReply(const HttpReply &Reply) const;
+  /** Updates the bytes held for the current reply; returns whether it may be
+   *  received further. */
+  bool updateHeldBytes();
   void reportLost(std::error_code Error);
   void write(std::string Bytes);
 
@@ -93,7 +100,8 @@
   Listener &m_Listener;
   StreamSocket m_Socket;
   HttpReplyReader m_Reader;
-  std::string m_RequestId; ///< Of the current exchange.
+  std::size_t m_HeldBytes = 0; ///< Counted in the endpoint's ReplyMemory.
+  std::string m_RequestId;     ///< Of the current exchange.
   BootId m_BootId;
   TimePoint m_LastProgress;
   bool m_Connected = false;
--- a/src/transport/TargetPool.h
+++ b/src/transport/TargetPool.h
@@ -25,6 +25,7 @@
 #include "state/Ids.h"
 #include "state/Time.h"
 #include "state/Verdict.h"
+#include "transport/ReplyMemory.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +51,9 @@
   /** Time after which an idle connection is closed. */
   milliseconds m_IdleTimeout{30000};
   std::size_t m_ReplyLimit = 8388608; ///< Maximum bytes of a reply body.
+  /** Bounds the incomplete replies of several pools together; null: the pool
+   *  has one of its own. */
+  std::shared_ptr<ReplyMemory> m_ReplyMemory;
   /** Whether the target implements figturn's protocol, with hello requests and
    *  cancellations. If not, a connection is ready as soon as it is open,
    *  closing the connection cancels a call, a successful probe retires older
--- a/src/transport/TargetPoolImpl.cpp
+++ b/src/transport/TargetPoolImpl.cpp
@@ -55,6 +55,9 @@
           .m_HostHeader =
               m_Options.m_Host + ":" + std::to_string(m_Options.m_Port),
           .m_ReplyLimit = m_Options.m_ReplyLimit,
+          .m_ReplyMemory = m_Options.m_ReplyMemory
+                               ? m_Options.m_ReplyMemory
+                               : std::make_shared<ReplyMemory>(),
           .m_Timeouts = {.m_UserTimeout = unacknowledgedTimeout(m_Options),
                          .m_KeepAliveInterval = m_Options.m_KeepAliveInterval},
           .m_SendsHello = m_Options.m_UsesFigturnProtocol,
--- a/test/correctness/ForeignTargetPoolTest.cpp
+++ b/test/correctness/ForeignTargetPoolTest.cpp
@@ -306,4 +306,37 @@
   }
 }
 
+// Each reply was limited, but not all of them together: a faulty target could
+// take a VM's memory with one long reply on each connection.
+BOOST_AUTO_TEST_CASE(Replies_withoutEnd_areBoundedTogether) {
+  constexpr std::size_t Calls = 20;
+  constexpr std::size_t Limit = 1048576;
+  const auto Memory = std::make_shared<ReplyMemory>(Limit);
+  m_OnRequest = [](const SimpleHttpRequest &Request,
+                   SimpleHttpResponder Reply) {
+    if (Request.header("x-request-id") == "1")
+      Reply.send(200, "ok", requestIdHeader(Request));
+    else
+      Reply.sendRaw("HTTP/1.1 200 OK\r\n" + requestIdHeader(Request) + "\r\n" +
+                    std::string(Limit, 'x'));
+  };
+  start({.m_MaxConnections = Calls, .m_ReplyMemory = Memory});
+  for (std::size_t Id = 2; Id < 2 + Calls; ++Id)
+    send(Id, seconds(2));
+  std::size_t MostHeld = 0;
+  processEventsUntil([&] {
+    MostHeld = std::max(MostHeld, Memory->held());
+    return m_Results.size() == Calls;
+  });
+  std::size_t Dropped = 0;
+  for (const auto &[Id, Result] : m_Results)
+    Dropped += Result.m_Error == Errc::BadReply ? 1 : 0;
+  BOOST_TEST(Dropped > 0U);
+  BOOST_TEST(MostHeld <= Limit + Calls * ReplyMemory::SmallReply);
+  send(1);
+  BOOST_TEST(result(1).m_Body == "ok");
+  processEventsUntil([&] { return m_Pool->connections() <= 1; });
+  BOOST_TEST(Memory->held() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -185,6 +185,33 @@
     BOOST_TEST(get("/look/x", "q-" + std::to_string(I)).m_Body == Other.m_Body);
 }
 
+// A target that sends long bodies without end on all its connections took more
+// memory than the smallest VMs have, and their other requests ended with them.
+BOOST_AUTO_TEST_CASE(Replies_withoutEnd_leaveMemoryForOtherRequests) {
+  constexpr std::size_t SmallestVmBytes = 112U << 20;
+  constexpr std::size_t SentPerReply = 7U
+                                       << 20; // Less than one reply may have.
+  constexpr std::size_t MaxCallers = 60;
+  std::vector<SearcherStandin *> Faulty{m_Desk};
+  for (const char *Name : {"i-desk-2", "i-desk-3", "i-desk-4"})
+    Faulty.push_back(&m_Fleet.addSearcher(Name, "desk"));
+  for (SearcherStandin *Each : Faulty)
+    setRunHandler(*Each, [](const SimpleHttpRequest &Request,
+                            SimpleHttpResponder Reply) {
+      Reply.sendRaw("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " +
+                    Request.header("x-request-id") + "\r\n\r\n" +
+                    std::string(SentPerReply, 'x'));
+    });
+  std::vector<std::thread> Callers;
+  for (std::size_t I = 0; I < MaxCallers; ++I)
+    Callers.emplace_back(
+        [this, I] { get("/look/x", "q-" + std::to_string(I)); });
+  for (std::thread &Each : Callers)
+    Each.join();
+  BOOST_TEST(m_Vm->m_Process->peakMemoryBytes() < SmallestVmBytes);
+  BOOST_TEST(get("/search/x", "q-search").m_Status == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(Reply_withoutContentLength_endsAtConnectionClose) {
   setRunHandler(
       *m_Desk, [](const SimpleHttpRequest &Request, SimpleHttpResponder Reply) {
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -121,6 +121,15 @@
     ::kill(m_Id, Signal);
 }
 
+std::size_t Process::peakMemoryBytes() const {
+  constexpr std::string_view Field = "VmHWM:"; // In kB.
+  std::ifstream File("/proc/" + std::to_string(m_Id) + "/status");
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.rfind(Field, 0) == 0)
+      return std::stoul(Line.substr(Field.size())) * 1024;
+  return 0;
+}
+
 void Process::waitUntilSigtermBlocked() const {
   constexpr std::string_view Field = "SigBlk:";
   constexpr unsigned long long TermBit = 1ULL << (SIGTERM - 1);
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -28,6 +28,9 @@
   Process &operator=(const Process &) = delete;
 
   pid_t id() const { return m_Id; }
+  /** The largest resident memory of the running process so far; 0 if the
+   *  system doesn't tell. */
+  std::size_t peakMemoryBytes() const;
 
   /** Waits for an output line that contains \p Text and \p SecondText,
    *  starting at line \p FirstLine. Returns none if the output ends or the
