Give each test process a block of ports

In one of 24 runs of CrashingRequestTest, four at a time, a VM did not start: "cannot listen on one of the addresses ...: Cannot assign requested address", which is what a VM says when any of its ports is taken. Free ports were drawn at random and checked on 127.0.0.1 only, for TCP only, and released before the VM listened; two tests that ran at the same time could draw the same port, and a VM on 127.0.0.2 or a gossip port (UDP) of another test was not noticed at all. That this was the cause in that run is not shown, as its ports were not kept.

Each test process now claims a block of 256 ports by holding the first one, and takes its ports from it in turn, checked for TCP and UDP. StandinTest PortBlocks_claimedTogether_haveNoPortInCommon checks it; the former code had no notion of a process.

--- a/test/correctness/StandinTest.cpp
+++ b/test/correctness/StandinTest.cpp
@@ -71,4 +71,17 @@
   }
 }
 
+// Guards against VMs that failed to listen because the VM of another test,
+// which ran at the same time, had one of their ports.
+BOOST_AUTO_TEST_CASE(PortBlocks_claimedTogether_haveNoPortInCommon) {
+  test::PortBlock First;
+  test::PortBlock Second;
+  std::set<std::uint16_t> Distinct;
+  for (int I = 0; I < 100; ++I) {
+    Distinct.insert(First.next());
+    Distinct.insert(Second.next());
+  }
+  BOOST_TEST(Distinct.size() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/FreePorts.h
+++ b/test/support/FreePorts.h
@@ -3,36 +3,37 @@
 
 /** Ports for programs that a test starts. */
 
-#include <QTcpServer>
-
+#include <cstddef>
 #include <cstdint>
-#include <memory>
-#include <random>
 #include <vector>
 
 namespace figturn::test {
 
-/** Returns \p Count distinct TCP ports that are free on 127.0.0.1. They are
- *  below Linux's default range of ephemeral ports, so the kernel assigns none
- *  of them to another socket while the program that needs it starts or
- *  restarts. */
-inline std::vector<std::uint16_t> freePorts(std::size_t Count) {
-  constexpr std::uint16_t FirstPort = 10000;
-  constexpr std::uint16_t LastPort = 32767;
-  std::random_device Random;
-  std::uniform_int_distribution<std::uint16_t> AnyPort(FirstPort, LastPort);
-  std::vector<std::unique_ptr<QTcpServer>> Servers;
-  std::vector<std::uint16_t> Ports;
-  while (Ports.size() < Count) {
-    auto Server = std::make_unique<QTcpServer>();
-    if (!Server->listen(QHostAddress::LocalHost, AnyPort(Random)))
-      continue;
-    Ports.push_back(Server->serverPort());
-    // Listens until all ports are chosen, so that none is chosen twice.
-    Servers.push_back(std::move(Server));
-  }
-  return Ports;
-}
+/** A range of ports that this process has to itself, since no other claims it.
+ */
+class PortBlock {
+public:
+  /** Claims a range; throws if all are taken. */
+  PortBlock();
+  ~PortBlock();
+  PortBlock(const PortBlock &) = delete;
+  PortBlock &operator=(const PortBlock &) = delete;
+
+  /** The next free port; starts again once all have been returned. */
+  std::uint16_t next();
+
+private:
+  std::uint16_t m_First = 0;
+  std::uint16_t m_Offset = 0;
+  int m_Claim = -1; ///< Socket that holds the first port.
+};
+
+/** Returns \p Count distinct ports that are free for TCP and UDP on 127.0.0.1.
+ *  They are below Linux's default range of ephemeral ports, so the kernel
+ *  assigns none of them to another socket while the program that needs it
+ *  starts or restarts. No other test process gets them while this one runs, on
+ *  any loopback address. */
+std::vector<std::uint16_t> freePorts(std::size_t Count);
 
 } // namespace figturn::test
 
