Record lost calls after they were taken from the pending ones

CrashQuarantine::onTargetDown() recorded crashes while it removed the calls from m_Pending, and add() removes expired ones from the same vector. Nothing was ever removed there, since both use the same time, but the nested removal is undefined. Found on reading the diff; no test failed.

--- a/src/coordination/CrashQuarantine.cpp
+++ b/src/coordination/CrashQuarantine.cpp
@@ -48,14 +48,18 @@
 std::vector<Fingerprint>
 CrashQuarantine::onTargetDown(const TargetInstance &Target, TimePoint Now) {
   dropExpired(Now);
-  std::vector<Fingerprint> Suspects;
+  std::vector<Pending> Lost;
   std::erase_if(m_Pending, [&](const Pending &Each) {
     if (Each.m_Call.m_Target != Target)
       return false;
-    Suspects.push_back(Each.m_Call.m_Request);
-    addOwn(Each, Now);
+    Lost.push_back(Each);
     return true;
   });
+  std::vector<Fingerprint> Suspects;
+  for (const Pending &Each : Lost) {
+    addOwn(Each, Now);
+    Suspects.push_back(Each.m_Call.m_Request);
+  }
   return Suspects;
 }
 
--- a/src/coordination/CrashQuarantine.h
+++ b/src/coordination/CrashQuarantine.h
@@ -25,6 +25,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace figturn {
@@ -117,7 +118,9 @@
     std::uint32_t m_Vm;
     std::uint32_t m_Target;
 
-    auto operator<=>(const CrashKey &) const = default;
+    bool operator<(const CrashKey &Other) const {
+      return std::tie(m_Vm, m_Target) < std::tie(Other.m_Vm, Other.m_Target);
+    }
   };
   struct CrashEntry {
     TimePoint m_LostAt;
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -37,8 +37,7 @@
 /** How a call ended. */
 struct PooledCallResult {
   CallOutcome m_Outcome = CallOutcome::Lost;
-  std::error_code
-      m_Error; ///< Why there is no complete reply, if there is none.
+  std::error_code m_Error; ///< Set if there is no complete reply.
   unsigned m_Status = 0;
   HttpHeaders m_Headers;
   std::string m_Body;
