--- /dev/null
+++ b/review/support-2/Cases.h
@@ -0,0 +1,13 @@
+#ifndef FIGTURN_REVIEW_CASES_H
+#define FIGTURN_REVIEW_CASES_H
+
+#include "Harness.h"
+
+namespace review {
+
+Verdict runTruncatedAnswer();
+Verdict runDrainedQueue();
+
+} // namespace review
+
+#endif
