--- a/review/support-2/Cases.h
+++ b/review/support-2/Cases.h
@@ -11,6 +11,7 @@
 Verdict runUnprovenRefusal();
 Verdict runStopDuringUpload();
 Verdict runRemovedAfterRestart();
+Verdict runLeavingTogether();
 
 } // namespace review
 
--- a/review/support-2/Harness.cpp
+++ b/review/support-2/Harness.cpp
@@ -312,8 +312,7 @@
   m_Changed.notify_all();
 }
 
-void Store::remove(const std::string &Kind, const std::string &Name) {
-  const std::lock_guard Lock(m_Mutex);
+void Store::recordRemoval(const std::string &Kind, const std::string &Name) {
   const auto Found = m_Objects[Kind].find(Name);
   if (Found == m_Objects[Kind].end())
     return;
@@ -323,6 +322,17 @@
   m_History.push_back(
       {m_Revision, Kind,
        "{\"tombstone\":true,\"object\":" + objectText(Name, Last) + "}"});
+}
+
+void Store::remove(const std::string &Kind, const std::string &Name) {
+  removeTogether(Kind, {Name});
+}
+
+void Store::removeTogether(const std::string &Kind,
+                           const std::vector<std::string> &Names) {
+  const std::lock_guard Lock(m_Mutex);
+  for (const std::string &Each : Names)
+    recordRemoval(Kind, Each);
   m_Changed.notify_all();
 }
 
--- a/review/support-2/Harness.h
+++ b/review/support-2/Harness.h
@@ -114,10 +114,11 @@
   void put(const std::string &Kind, const std::string &Name,
            const std::string &Spec);
   void remove(const std::string &Kind, const std::string &Name);
+  /** Removes objects before a watch hears of any of them. */
+  void removeTogether(const std::string &Kind,
+                      const std::vector<std::string> &Names);
   /** Answers 503 to each call and cuts waiting watches. */
   void setDown(bool IsDown);
-  /** Answers 503 to calls for which the function returns true. */
-  void setFilter(std::function<bool(const std::string &PeerAddress)> Refuses);
 
 private:
   struct Object {
@@ -130,6 +131,8 @@
     std::string m_Event;
   };
   void serve(Connection &Peer);
+  /** The caller holds m_Mutex. */
+  void recordRemoval(const std::string &Kind, const std::string &Name);
   std::string objectText(const std::string &Name, const Object &Stored) const;
 
   std::mutex m_Mutex;
--- a/review/support-2/Main.cpp
+++ b/review/support-2/Main.cpp
@@ -17,6 +17,7 @@
       {"unproven-refusal", runUnprovenRefusal},
       {"stop-during-upload", runStopDuringUpload},
       {"removed-after-restart", runRemovedAfterRestart},
+      {"leaving-together", runLeavingTogether},
   };
   if (Count != 3 || !Cases.count(Arguments[1])) {
     std::fprintf(stderr, "usage: review-cases CASE RECORD\n");
