--- a/review/support-2/LeavingTogether.cpp
+++ b/review/support-2/LeavingTogether.cpp
@@ -1,12 +1,13 @@
 #include "Cases.h"
 
+#include <algorithm>
 #include <atomic>
 #include <set>
 
 /**
  * One searcher of each of several services is slow, drains and leaves: it turns
- * away the requests that it hasn't begun and names a time for which it wants no
- * more, and its entry is removed. The configuration grows at that moment. The VM
+ * away the requests that it hasn't begun, names a time for which it wants no more
+ * with the last of them, and its entry is removed. The configuration grows at that moment. The VM
  * must answer all requests and go on to run.
  */
 namespace review {
@@ -15,15 +16,20 @@
 
 constexpr int Services = 4;
 constexpr int SearchersEach = 7; ///< One of them leaves: a share of 0.15.
-/** At each searcher one gets the VM's connection and two wait for it. */
-constexpr int LookupsEach = 3 * SearchersEach;
-constexpr int ConnectionLimit = 1;
+/** A VM's share of 77 connections among 15 VMs; it uses three of them. */
+constexpr int ConnectionLimit = 4;
+constexpr int ConnectionsUsed = 3;
+/** At each searcher three are sent and two wait for a connection. */
+constexpr int LookupsEach = 5 * SearchersEach;
 constexpr int DeadlineMs = 4000;
 constexpr int DrainMs = 3000;
 constexpr int ExtraServingMs = 200;
 constexpr int WorkMs = 50;
 constexpr int SettleMs = 5000;
-constexpr int Rounds = 8;
+constexpr int Rounds = 16;
+/** Deployments of one VM each that are played side by side. The order in which a
+ *  VM handles its sockets is its own. */
+constexpr int Deployments = 3;
 constexpr int AddedRoutes = 350; ///< The site's largest.
 constexpr std::chrono::microseconds ConfigLead{1500};
 constexpr int SteadyCallers = 24;
@@ -48,6 +54,9 @@
 
 BegunRequests Begun;
 
+/** Set when a VM has ended by itself, so that the other deployments end. */
+std::atomic<bool> HasAnyEnded{false};
+
 /** A searcher; if it is slow, requests wait in its queue until it leaves. */
 struct Searcher {
   Searcher(const std::string &Id, bool IsSlow) : m_Id(Id), m_IsSlow(IsSlow) {
@@ -74,10 +83,11 @@
         m_Left.wait_for(Lock, milliseconds(DeadlineMs + 1000),
                         [this] { return m_IsLeaving; });
       }
+      const bool IsLast = ++m_TurnedAway == ConnectionsUsed;
       Peer.write("HTTP/1.1 503 X\r\nX-Request-Id: " + Id +
-                 "\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
-                 "Retry-After: 1\r\nConnection: close\r\n"
-                 "Content-Length: 0\r\n\r\n");
+                 "\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n" +
+                 (IsLast ? "Retry-After: 1\r\n" : "") +
+                 "Connection: close\r\nContent-Length: 0\r\n\r\n");
       return;
     }
   }
@@ -91,6 +101,7 @@
   std::string m_Id;
   bool m_IsSlow;
   bool m_IsLeaving = false;
+  std::atomic<int> m_TurnedAway{0};
   std::mutex m_Mutex;
   std::condition_variable m_Left;
   std::unique_ptr<Server> m_Server;
@@ -124,7 +135,10 @@
 
 } // namespace
 
-Verdict runLeavingTogether() {
+namespace {
+
+Verdict playDeployment(const std::string &Deployment,
+                       const std::vector<std::uint16_t> &Ports) {
   Store Platform;
   std::string Routes;
   std::string Policies;
@@ -152,7 +166,7 @@
   for (int I = 0; I < Services; ++I)
     for (int K = 1; K < SearchersEach; ++K)
       Add("i-" + std::to_string(I) + "-" + std::to_string(K), I, false);
-  Vm Node("vm-1", "127.0.0.1", Platform.address(), "", freePorts(6));
+  Vm Node("vm-" + Deployment, "127.0.0.1", Platform.address(), "", Ports);
   Node.start();
   if (!Node.waitUntilReady(10000))
     return CouldNotRun;
@@ -161,8 +175,9 @@
   Results Bursts;
   std::atomic<bool> Stop{false};
   std::vector<std::thread> SteadyThreads;
-  for (int Round = 0; Round < Rounds && Node.isRunning(); ++Round) {
-    const std::string Name = std::to_string(Round);
+  for (int Round = 0; Round < Rounds && Node.isRunning() && !HasAnyEnded;
+       ++Round) {
+    const std::string Name = Deployment + "-" + std::to_string(Round);
     std::vector<Searcher *> Leaving;
     std::vector<std::string> Names;
     for (int I = 0; I < Services; ++I) {
@@ -228,15 +243,16 @@
     SteadyThreads.clear();
     for (std::thread &Each : Callers)
       Each.join();
+    HasAnyEnded = HasAnyEnded || !Node.isRunning();
     for (Searcher *Each : Leaving)
       Each->leave();
     Platform.removeTogether("servers", Names);
   }
   const bool HasEnded = !Node.isRunning();
   if (HasEnded)
-    Record::line("WRONG: the VM has ended by itself");
+    Record::line("WRONG: VM " + Deployment + " has ended by itself");
   const int Lost = Steady.m_Lost + Bursts.m_Lost;
-  Record::line("answered=" +
+  Record::line("VM " + Deployment + ": answered=" +
                std::to_string(Steady.m_Answered + Bursts.m_Answered) +
                " refused=" +
                std::to_string(Steady.m_Refused + Bursts.m_Refused) +
@@ -248,4 +264,28 @@
   return HasEnded && Steady.m_LostAtWork > 3 ? Broken : Held;
 }
 
+} // namespace
+
+Verdict runLeavingTogether() {
+  std::vector<Verdict> Verdicts(Deployments, CouldNotRun);
+  constexpr std::ptrdiff_t PortsEach = 6;
+  const std::vector<std::uint16_t> Ports = freePorts(PortsEach * Deployments);
+  std::vector<std::thread> Threads;
+  for (std::size_t I = 0; I < Verdicts.size(); ++I)
+    Threads.emplace_back([&, I] {
+      const auto First =
+          Ports.begin() + PortsEach * static_cast<std::ptrdiff_t>(I);
+      Verdicts[I] = playDeployment(
+          std::to_string(I + 1),
+          std::vector<std::uint16_t>(First, First + PortsEach));
+    });
+  for (std::thread &Each : Threads)
+    Each.join();
+  if (std::count(Verdicts.begin(), Verdicts.end(), Broken) > 0)
+    return Broken;
+  return std::count(Verdicts.begin(), Verdicts.end(), CouldNotRun) > 0
+             ? CouldNotRun
+             : Held;
+}
+
 } // namespace review
