--- a/review/support-2/Cases.h
+++ b/review/support-2/Cases.h
@@ -6,9 +6,7 @@
 namespace review {
 
 Verdict runTruncatedAnswer();
-Verdict runDrainedQueue();
 Verdict runEarlierStart();
-Verdict runUnprovenRefusal();
 Verdict runStopDuringUpload();
 Verdict runRemovedAfterRestart();
 Verdict runLeavingTogether();
--- a/review/support-2/Main.cpp
+++ b/review/support-2/Main.cpp
@@ -12,9 +12,7 @@
 int main(int Count, char **Arguments) {
   const std::map<std::string, Verdict (*)()> Cases{
       {"truncated-answer", runTruncatedAnswer},
-      {"drained-queue", runDrainedQueue},
       {"earlier-start", runEarlierStart},
-      {"unproven-refusal", runUnprovenRefusal},
       {"stop-during-upload", runStopDuringUpload},
       {"removed-after-restart", runRemovedAfterRestart},
       {"leaving-together", runLeavingTogether},
