--- a/review/support-2/Cases.h
+++ b/review/support-2/Cases.h
@@ -6,10 +6,10 @@
 namespace review {
 
 Verdict runTruncatedAnswer();
-Verdict runEarlierStart();
 Verdict runStopDuringUpload();
 Verdict runRemovedAfterRestart();
 Verdict runLeavingTogether();
+Verdict runOldBodyLimit();
 
 } // namespace review
 
--- a/review/support-2/Main.cpp
+++ b/review/support-2/Main.cpp
@@ -12,10 +12,10 @@
 int main(int Count, char **Arguments) {
   const std::map<std::string, Verdict (*)()> Cases{
       {"truncated-answer", runTruncatedAnswer},
-      {"earlier-start", runEarlierStart},
       {"stop-during-upload", runStopDuringUpload},
       {"removed-after-restart", runRemovedAfterRestart},
       {"leaving-together", runLeavingTogether},
+      {"old-body-limit", runOldBodyLimit},
   };
   if (Count != 3 || !Cases.count(Arguments[1])) {
     std::fprintf(stderr, "usage: review-cases CASE RECORD\n");
