--- a/review/support-2/Cases.h
+++ b/review/support-2/Cases.hh
@@ -1,7 +1,7 @@
 #ifndef FIGTURN_REVIEW_CASES_H
 #define FIGTURN_REVIEW_CASES_H
 
-#include "Harness.h"
+#include "Harness.hh"
 
 namespace review {
 
--- a/review/support-2/Harness.cpp
+++ b/review/support-2/Harness.cc
@@ -1,4 +1,4 @@
-#include "Harness.h"
+#include "Harness.hh"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -154,8 +154,8 @@
   const auto Deadline = Clock::now() + milliseconds(TimeoutMs);
   std::size_t End = 0;
   while ((End = m_Buffer.find("\r\n\r\n")) == std::string::npos) {
-    const auto Left = std::chrono::duration_cast<milliseconds>(
-        Deadline - Clock::now());
+    const auto Left =
+        std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
     if (Left.count() <= 0 || !fill(static_cast<int>(Left.count())))
       return false;
   }
@@ -177,7 +177,8 @@
     const std::string Line = Head.substr(At + 2, Next - At - 2);
     const auto Colon = Line.find(':');
     if (Colon != std::string::npos)
-      Out.m_Headers[lower(Line.substr(0, Colon))] = trim(Line.substr(Colon + 1));
+      Out.m_Headers[lower(Line.substr(0, Colon))] =
+          trim(Line.substr(Colon + 1));
     At = Next;
   }
   return true;
@@ -185,11 +186,11 @@
 
 bool Connection::readBody(Message &Out, int TimeoutMs) {
   const auto Deadline = Clock::now() + milliseconds(TimeoutMs);
-  const std::size_t Length = std::strtoull(
-      Out.header("content-length").c_str(), nullptr, 10);
+  const std::size_t Length =
+      std::strtoull(Out.header("content-length").c_str(), nullptr, 10);
   while (m_Buffer.size() < Length) {
-    const auto Left = std::chrono::duration_cast<milliseconds>(
-        Deadline - Clock::now());
+    const auto Left =
+        std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
     if (Left.count() <= 0 || !fill(static_cast<int>(Left.count()))) {
       Out.m_Body = m_Buffer;
       return false;
@@ -306,9 +307,9 @@
   const std::lock_guard Lock(m_Mutex);
   Object &Stored = m_Objects[Kind][Name];
   Stored = {++m_Revision, Spec};
-  m_History.push_back({m_Revision, Kind,
-                       "{\"tombstone\":false,\"object\":" +
-                           objectText(Name, Stored) + "}"});
+  m_History.push_back(
+      {m_Revision, Kind,
+       "{\"tombstone\":false,\"object\":" + objectText(Name, Stored) + "}"});
   m_Changed.notify_all();
 }
 
@@ -390,9 +391,10 @@
       for (const auto &[Each, Stored] : m_Objects[Kind])
         if (After.empty() || Each > After)
           Items += (Items.empty() ? "" : ",") + objectText(Each, Stored);
-      const std::string Text = "{\"items\":[" + Items +
-                               "],\"more\":false,\"current_rev\":" +
-                               std::to_string(m_Revision) + "}";
+      const std::string Text =
+          "{\"items\":[" + Items +
+          "],\"more\":false,\"current_rev\":" + std::to_string(m_Revision) +
+          "}";
       Lock.unlock();
       Reply(200, Text);
       continue;
@@ -414,8 +416,9 @@
            m_Changed.wait_until(Lock, Deadline) == std::cv_status::no_timeout)
       ;
     const bool IsCut = m_Cut != Cut;
-    const std::string Body = "{\"events\":[" + Text + "],\"current_rev\":" +
-                             std::to_string(m_Revision) + "}";
+    const std::string Body = "{\"events\":[" + Text +
+                             "],\"current_rev\":" + std::to_string(m_Revision) +
+                             "}";
     Lock.unlock();
     if (IsCut) {
       Peer.reset();
@@ -438,10 +441,11 @@
       << "{\"door\": \"routed\", \"vm\": \"" << Name
       << "\", \"dataCentre\": \"nz-south-a\", \"callerAddress\": " << At(0)
       << ", \"readinessAddress\": " << At(1)
-      << ", \"directoryAddress\": " << At(2) << ", \"controlAddress\": "
-      << At(3) << ", \"gossipAddress\": " << At(4) << ", \"metricsAddress\": "
-      << At(5) << ", \"storeAddress\": \"" << Store << "\", \"seeds\": \""
-      << Seeds << "\", \"cpuShare\": 0.17, \"cores\": 1, \"descriptors\": 2870, "
+      << ", \"directoryAddress\": " << At(2)
+      << ", \"controlAddress\": " << At(3) << ", \"gossipAddress\": " << At(4)
+      << ", \"metricsAddress\": " << At(5) << ", \"storeAddress\": \"" << Store
+      << "\", \"seeds\": \"" << Seeds
+      << "\", \"cpuShare\": 0.17, \"cores\": 1, \"descriptors\": 2870, "
       << "\"graceSeconds\": 6, \"retryRatio\": 0.2, \"retrySlack\": 116, "
       << "\"coldMultiplier\": 1.5, \"coldSlack\": 5, "
       << "\"firstListDelaySeconds\": 0, \"directoryTtlSeconds\": 5"
@@ -559,10 +563,10 @@
                  const std::string &Target, const std::string &Id,
                  int DeadlineMs, const std::string &Body,
                  const std::string &Host) {
-  std::string Text = Method + " " + Target + " HTTP/1.1\r\nHost: " + Host +
-                     "\r\nX-Request-Id: " + Id +
-                     "\r\nX-Deadline-Milliseconds: " +
-                     std::to_string(DeadlineMs) + "\r\n";
+  std::string Text =
+      Method + " " + Target + " HTTP/1.1\r\nHost: " + Host +
+      "\r\nX-Request-Id: " + Id +
+      "\r\nX-Deadline-Milliseconds: " + std::to_string(DeadlineMs) + "\r\n";
   if (!Body.empty() || Method == "POST")
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   Message Answer;
@@ -575,8 +579,9 @@
 std::string routeText(const std::string &Name, const std::string &Prefix,
                       const std::string &Kind, int TimeoutMs, int ObjectiveMs,
                       const std::string &Rest) {
-  return "{\"name\":\"" + Name + "\",\"host\":\"h.example\",\"path_prefix\":\"" +
-         Prefix + "\",\"kind\":\"" + Kind +
+  return "{\"name\":\"" + Name +
+         "\",\"host\":\"h.example\",\"path_prefix\":\"" + Prefix +
+         "\",\"kind\":\"" + Kind +
          "\",\"timeout_ms\":" + std::to_string(TimeoutMs) +
          ",\"target_latency_ms\":" + std::to_string(ObjectiveMs) +
          ",\"priority\":2,\"attempts\":2," + Rest + "}";
@@ -604,8 +609,9 @@
                       const std::string &Zone, const std::string &State,
                       std::uint64_t Born, int Slots) {
   return "{\"service\":\"" + Service + "\",\"address\":\"" + Address +
-         "\",\"zone\":\"" + Zone + "\",\"version\":\"v1\",\"slots\":" +
-         std::to_string(Slots) + ",\"state\":\"" + State +
+         "\",\"zone\":\"" + Zone +
+         "\",\"version\":\"v1\",\"slots\":" + std::to_string(Slots) +
+         ",\"state\":\"" + State +
          "\",\"cold_remaining_ms\":0,\"sequence\":4,\"born\":" +
          std::to_string(Born) + "}";
 }
--- a/review/support-2/LeavingTogether.cpp
+++ b/review/support-2/LeavingTogether.cc
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Cases.hh"
 
 #include <algorithm>
 #include <atomic>
@@ -6,9 +6,9 @@
 
 /**
  * One searcher of each of several services is slow, drains and leaves: it turns
- * away the requests that it hasn't begun, names a time for which it wants no more
- * with the last of them, and its entry is removed. The configuration grows at that moment. The VM
- * must answer all requests and go on to run.
+ * away the requests that it hasn't begun, names a time for which it wants no
+ * more with the last of them, and its entry is removed. The configuration grows
+ * at that moment. The VM must answer all requests and go on to run.
  */
 namespace review {
 
@@ -27,8 +27,8 @@
 constexpr int WorkMs = 50;
 constexpr int SettleMs = 5000;
 constexpr int Rounds = 16;
-/** Deployments of one VM each that are played side by side. The order in which a
- *  VM handles its sockets is its own. */
+/** Deployments of one VM each that are played side by side. The order in which
+ * a VM handles its sockets is its own. */
 constexpr int Deployments = 3;
 constexpr int AddedRoutes = 350; ///< The site's largest.
 constexpr std::chrono::microseconds ConfigLead{1500};
@@ -144,10 +144,10 @@
   std::string Policies;
   for (int I = 0; I < Services; ++I) {
     const std::string Comma = I > 0 ? "," : "";
-    Routes += Comma + routeText("r-" + serviceName(I),
-                                "/" + serviceName(I) + "/", "unsafe",
-                                DeadlineMs, 600,
-                                "\"service\":\"" + serviceName(I) + "\"");
+    Routes +=
+        Comma + routeText("r-" + serviceName(I), "/" + serviceName(I) + "/",
+                          "unsafe", DeadlineMs, 600,
+                          "\"service\":\"" + serviceName(I) + "\"");
     Policies += Comma + serviceText(serviceName(I), ConnectionLimit);
   }
   Platform.put("config", "main", configText(1, Routes, Policies));
@@ -181,7 +181,8 @@
     std::vector<Searcher *> Leaving;
     std::vector<std::string> Names;
     for (int I = 0; I < Services; ++I) {
-      Leaving.push_back(Add("i-" + std::to_string(I) + "-slow-" + Name, I, true));
+      Leaving.push_back(
+          Add("i-" + std::to_string(I) + "-slow-" + Name, I, true));
       Names.push_back(Leaving.back()->m_Id);
     }
     sleepMs(600);
@@ -192,10 +193,10 @@
           const std::string Id =
               "q-" + Name + "-" + std::to_string(I) + "-" + std::to_string(K);
           const auto Peer = connectTo(Node.host(), Node.port());
-          Bursts.add(Id, Peer ? exchange(*Peer, "POST",
-                                         "/" + serviceName(I) + "/a", Id,
-                                         DeadlineMs, "order")
-                              : Message{});
+          Bursts.add(Id,
+                     Peer ? exchange(*Peer, "POST", "/" + serviceName(I) + "/a",
+                                     Id, DeadlineMs, "order")
+                          : Message{});
         });
     sleepMs(150);
     if (hasTrouble())
@@ -252,13 +253,13 @@
   if (HasEnded)
     Record::line("WRONG: VM " + Deployment + " has ended by itself");
   const int Lost = Steady.m_Lost + Bursts.m_Lost;
-  Record::line("VM " + Deployment + ": answered=" +
-               std::to_string(Steady.m_Answered + Bursts.m_Answered) +
-               " refused=" +
-               std::to_string(Steady.m_Refused + Bursts.m_Refused) +
-               " lost=" + std::to_string(Lost) +
-               " of which at work on kept connections=" +
-               std::to_string(Steady.m_LostAtWork));
+  Record::line(
+      "VM " + Deployment +
+      ": answered=" + std::to_string(Steady.m_Answered + Bursts.m_Answered) +
+      " refused=" + std::to_string(Steady.m_Refused + Bursts.m_Refused) +
+      " lost=" + std::to_string(Lost) +
+      " of which at work on kept connections=" +
+      std::to_string(Steady.m_LostAtWork));
   if (Steady.m_Answered < 20)
     return CouldNotRun;
   return HasEnded && Steady.m_LostAtWork > 3 ? Broken : Held;
@@ -275,9 +276,9 @@
     Threads.emplace_back([&, I] {
       const auto First =
           Ports.begin() + PortsEach * static_cast<std::ptrdiff_t>(I);
-      Verdicts[I] = playDeployment(
-          std::to_string(I + 1),
-          std::vector<std::uint16_t>(First, First + PortsEach));
+      Verdicts[I] =
+          playDeployment(std::to_string(I + 1),
+                         std::vector<std::uint16_t>(First, First + PortsEach));
     });
   for (std::thread &Each : Threads)
     Each.join();
--- a/review/support-2/Main.cpp
+++ b/review/support-2/Main.cc
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Cases.hh"
 
 #include <csignal>
 #include <cstdio>
--- a/review/support-2/OldBodyLimit.cpp
+++ b/review/support-2/OldBodyLimit.cc
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Cases.hh"
 
 /**
  * A desired state raises the limit on bodies. Requests that only the new limit
@@ -23,8 +23,8 @@
     Message Request;
     while (Peer.readHead(Request, 60000) && Peer.readBody(Request, 5000)) {
       const std::string Id = Request.header("x-request-id");
-      Record::line("searcher runs id=" + Id + " body=" +
-                   std::to_string(Request.m_Body.size()));
+      Record::line("searcher runs id=" + Id +
+                   " body=" + std::to_string(Request.m_Body.size()));
       Peer.write(okAnswer(Request, "stamp-" + Id, "order " + Id));
     }
   });
@@ -61,9 +61,8 @@
   const std::string Body(BodyBytes, 'x');
   for (int I = 0; I < Callers; ++I) {
     const std::string Id = "kept-" + std::to_string(I);
-    const Message Answer =
-        exchange(*Kept[static_cast<std::size_t>(I)], "POST", "/upload/a", Id,
-                 4000, Body);
+    const Message Answer = exchange(*Kept[static_cast<std::size_t>(I)], "POST",
+                                    "/upload/a", Id, 4000, Body);
     Served += Answer.m_Status == 200;
     Wrong += Answer.m_Status == 413;
     Record::line(std::string(Answer.m_Status == 413 ? "WRONG: " : "") +
@@ -72,9 +71,9 @@
                  " bytes: status=" + std::to_string(Answer.m_Status));
   }
   const auto Fresh = connectTo(Node.host(), Node.port());
-  const Message Answer = Fresh ? exchange(*Fresh, "POST", "/upload/a", "new-1",
-                                          4000, Body)
-                               : Message{};
+  const Message Answer =
+      Fresh ? exchange(*Fresh, "POST", "/upload/a", "new-1", 4000, Body)
+            : Message{};
   Record::line("caller id=new-1 on a new connection: status=" +
                std::to_string(Answer.m_Status));
   Record::line("served=" + std::to_string(Served) +
--- a/review/support-2/StopDuringUpload.cpp
+++ b/review/support-2/StopDuringUpload.cc
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Cases.hh"
 
 #include <atomic>
 #include <csignal>
@@ -41,12 +41,12 @@
       Peer.write(okAnswer(Request, "stamp-" + Id, "order " + Id));
     }
   });
-  Platform.put("config", "main",
-               configText(1,
-                          routeText("r-upload", "/upload/", "unsafe",
-                                    DeadlineMs, ObjectiveMs,
-                                    "\"service\":\"upload\""),
-                          serviceText("upload", 96)));
+  Platform.put(
+      "config", "main",
+      configText(1,
+                 routeText("r-upload", "/upload/", "unsafe", DeadlineMs,
+                           ObjectiveMs, "\"service\":\"upload\""),
+                 serviceText("upload", 96)));
   Platform.put("servers", "i-upload-1",
                entryText("upload", Searcher.address(), "nz-south-a", "ready",
                          1785822630279));
@@ -112,11 +112,10 @@
   for (std::thread &Each : Callers)
     Each.join();
   const bool HasEnded = !hasTrouble() || Node.waitForExit(GraceMs);
-  Record::line("answered=" + std::to_string(Answered) +
-               " lost=" + std::to_string(Lost) +
-               " not sent=" + std::to_string(Other) +
-               " run=" + std::to_string(Ran) +
-               (HasEnded ? "" : " VM still running"));
+  Record::line(
+      "answered=" + std::to_string(Answered) + " lost=" + std::to_string(Lost) +
+      " not sent=" + std::to_string(Other) + " run=" + std::to_string(Ran) +
+      (HasEnded ? "" : " VM still running"));
   if (Answered + Lost == 0)
     return CouldNotRun;
   return Lost > 0 ? Broken : Held;
--- a/review/support-2/TruncatedAnswer.cpp
+++ b/review/support-2/TruncatedAnswer.cc
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Cases.hh"
 
 #include <atomic>
 
@@ -102,12 +102,11 @@
     Whole += IsSuccess && IsWhole;
     Truncated += IsSuccess && !IsWhole;
     if (!IsSuccess || !IsWhole)
-      Record::line("caller id=" + Id +
-                   " status=" + std::to_string(Answer.m_Status) + " body=" +
-                   std::to_string(Answer.m_Body.size()) + " of " +
-                   std::to_string(answerBody(Id).size()) +
-                   (IsSuccess ? " WRONG: a success without the whole body"
-                              : ""));
+      Record::line(
+          "caller id=" + Id + " status=" + std::to_string(Answer.m_Status) +
+          " body=" + std::to_string(Answer.m_Body.size()) + " of " +
+          std::to_string(answerBody(Id).size()) +
+          (IsSuccess ? " WRONG: a success without the whole body" : ""));
   };
   std::vector<std::thread> Threads;
   for (int I = 0; I < Callers; ++I)
