--- a/review/support-2/Harness.cc
+++ b/review/support-2/Harness.cc
@@ -15,6 +15,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -469,6 +470,8 @@
   ::dup2(Output, 1);
   ::dup2(Output, 2);
   ::setenv("QT_NO_GLIB", "1", 1);
+  // Ends the VM if the script is stopped before it ends.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   const std::string Settings = "--settings=" + m_File;
   ::execl(Program ? Program : "target/figturn", "figturn", "serve",
           Settings.c_str(), nullptr);
