--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -53,6 +53,9 @@
 
   /** Returns a client for the caller port of entry VM \p Index. */
   TestHttpClient vmClient(std::size_t Index) const;
+  std::uint16_t callerPort(std::size_t Index) const {
+    return m_Vms.at(Index).m_CallerPort;
+  }
   Process &vmProcess(std::size_t Index) { return *m_Vms.at(Index).m_Process; }
   std::size_t vmCount() const { return m_Vms.size(); }
   std::string vmName(std::size_t Index) const { return m_Vms.at(Index).m_Name; }
--- a/test/support/Process.cpp
+++ b/test/support/Process.cpp
@@ -6,7 +6,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -130,6 +132,15 @@
   return 0;
 }
 
+std::size_t Process::openDescriptors() const {
+  std::error_code Error;
+  const std::filesystem::directory_iterator Entries(
+      "/proc/" + std::to_string(m_Id) + "/fd", Error);
+  return Error ? 0
+               : static_cast<std::size_t>(std::distance(
+                     begin(Entries), std::filesystem::end(Entries)));
+}
+
 void Process::waitUntilSigtermBlocked() const {
   constexpr std::string_view Field = "SigBlk:";
   constexpr unsigned long long TermBit = 1ULL << (SIGTERM - 1);
--- a/test/support/Process.h
+++ b/test/support/Process.h
@@ -31,6 +31,8 @@
   /** The largest resident memory of the running process so far; 0 if the
    *  system doesn't tell. */
   std::size_t peakMemoryBytes() const;
+  /** The number of open file descriptors; 0 if the process has ended. */
+  std::size_t openDescriptors() const;
 
   /** Waits for an output line that contains \p Text and \p SecondText,
    *  starting at line \p FirstLine. Returns none if the output ends or the
