Limit trailers and chunk lines to the size of a header

Callers saw a VM end: it ran out of memory. Trailers behind a chunked body, and the first line of a chunk, were collected until the request timed out: the parser consumes them only as a whole and limits the header alone, and our own check ended with the header, too.

What the parser leaves unconsumed is now limited for the whole message. Bodies are not affected, as the parser consumes any part of them. Trailers within the limit are accepted as before.

Evidence: TrailersAndChunkLines_withoutEnd_areRefusedWith431 failed on the former code (408 after the timeout instead of 431).

--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -130,8 +130,10 @@
   const std::size_t Consumed = feedParser(m_Parser->m_Parser, Rest, Error);
   if (Error)
     m_RefusalStatus = statusForParseError(Error);
-  else if (!m_Parser->m_Parser.is_header_done() &&
+  else if (!m_Parser->m_Parser.is_done() &&
            Rest.size() - Consumed >= m_HeaderLimit)
+    // What the parser leaves is part of a header, of a chunk's first line or of
+    // trailers, none of which it limits after the header.
     m_RefusalStatus = 431;
   return Skipped + Consumed;
 }
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -57,6 +57,31 @@
                 "body-too-large");
 }
 
+// Such bytes were collected without a limit.
+BOOST_AUTO_TEST_CASE(TrailersAndChunkLines_withoutEnd_areRefusedWith431) {
+  start({.m_HeaderLimit = 1000});
+  const std::string Head =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  expectRefusal(Head + "0\r\nX-Trailer: " + std::string(2000, 'x'), 431,
+                "shorter fields");
+  expectRefusal(Head + "0\r\n" + std::string(500, 'a') + ": b\r\n" +
+                    std::string(500, 'c') + ": d\r\n",
+                431, "shorter fields");
+  expectRefusal(Head + "5;" + std::string(2000, 'x'), 431, "shorter fields");
+}
+
+BOOST_AUTO_TEST_CASE(Trailers_withinTheHeaderLimit_areAccepted) {
+  start({.m_HeaderLimit = 1000});
+  RawClient Client(port());
+  Client.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "5;extension=value\r\nhello\r\n0\r\nX-Trailer: " +
+              std::string(900, 'x') + "\r\n\r\n");
+  const auto Exchange = nextExchange();
+  BOOST_TEST(Exchange->request().m_Body == "hello");
+  Exchange->respond({.m_Body = "ok"});
+  BOOST_TEST(Client.receive().value().m_Body == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(Body_oversize_isRefusedWhileItIsSent) {
   start({.m_BodyLimit = 1000});
   expectRefusal(serializePost("/", std::string(1001, 'x')), 413,
