Close idle connections that send only empty lines

A caller could keep a connection, and its descriptor, for ever without sending a request: empty lines before a request line are skipped, and each one restarted the idle timeout.

The idle timeout now restarts only with an answer or a part of one.

Evidence: Connection_withEmptyLinesOnly_isClosedWhenIdle failed on the former code: the connection took 250 lines in five seconds, with an idle timeout of 200 ms.

--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -235,6 +235,7 @@
   HttpRequest Request = m_Reader.takeMessage();
   m_RequestStarted = false;
   m_RequestTimerRunning = false;
+  m_IdleTimerRunning = false;
   m_ContinueSent = false;
   Pipelined.m_Framing.m_OmitBody = Request.m_Method == "HEAD";
   Pipelined.m_Exchange =
@@ -305,6 +306,7 @@
 void HttpConnection::onBytesWritten() {
   if (m_Closed)
     return;
+  m_IdleTimerRunning = false;
   handleWriteProgress();
   if (m_Lingering)
     return;
@@ -338,13 +340,16 @@
     if (!m_RequestTimerRunning)
       m_Timer.start(Options.m_RequestTimeout);
     m_RequestTimerRunning = true;
+    m_IdleTimerRunning = false;
     return;
   }
   m_RequestTimerRunning = false;
-  if (m_Pipeline.empty())
-    m_Timer.start(Options.m_IdleTimeout);
-  else
+  // Empty lines between requests don't restart the idle timeout.
+  if (!m_Pipeline.empty())
     m_Timer.stop();
+  else if (!m_IdleTimerRunning)
+    m_Timer.start(Options.m_IdleTimeout);
+  m_IdleTimerRunning = m_Pipeline.empty();
 }
 
 void HttpConnection::onTimeout() {
--- a/src/transport/HttpConnection.h
+++ b/src/transport/HttpConnection.h
@@ -75,6 +75,7 @@
   std::string m_Input;                ///< Received bytes not yet parsed.
   bool m_RequestStarted = false;      ///< A request is partly received.
   bool m_RequestTimerRunning = false; ///< The timer covers the current request.
+  bool m_IdleTimerRunning = false;    ///< The timer covers the time between.
   bool m_ContinueSent = false;        ///< "100 Continue" sent for the request.
   std::deque<PipelinedRequest> m_Pipeline; ///< In the order of the requests.
   /** Number of the first request in m_Pipeline. */
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -57,6 +57,20 @@
                 "body-too-large");
 }
 
+// Each empty line restarted the idle timeout, so that a connection could be
+// kept without ever sending a request.
+BOOST_AUTO_TEST_CASE(Connection_withEmptyLinesOnly_isClosedWhenIdle) {
+  constexpr int MaxLines = 250;
+  start({.m_IdleTimeout = milliseconds(200)});
+  RawClient Client(port());
+  int Lines = 0;
+  while (Lines < MaxLines && Client.send("\r\n")) {
+    std::this_thread::sleep_for(milliseconds(20));
+    ++Lines;
+  }
+  BOOST_TEST(Lines < MaxLines);
+}
+
 // Such bytes were collected without a limit.
 BOOST_AUTO_TEST_CASE(TrailersAndChunkLines_withoutEnd_areRefusedWith431) {
   start({.m_HeaderLimit = 1000});
