Charge the copies of a request for its calls

A search of 1 MB took a VM over 6 MB: each shard's call has a copy of its own. 200 such searches at once, whole and within all limits, took the process to 1,341 MB (bound 117), and an ordinary search wasn't answered.

The copies are charged to the callers' budget before the first call is sent, in both modes; a request without room for them is refused as not run.

Evidence: SearchCrowdTest/LargeBodies_whole_leaveMemory: 1,341 MB before, 37 MB now, and the ordinary search is answered. Search_atTheLimits_isServedInCalm: a single search of 1 MB is still served, with a peak of 41 MB.

--- a/src/node/QueryRunner.cpp
+++ b/src/node/QueryRunner.cpp
@@ -143,6 +143,16 @@
   std::optional<ShardId> OnlyShard;
   if (m_Request.m_Kind == RequestKind::Lookup)
     OnlyShard = m_Snapshot->shardOfRecord(m_Request.m_Record).m_Shard;
+  // The request is decoded, and copied for each call and for its connection.
+  const std::size_t CopyCount =
+      1 + 2 * (OnlyShard ? 1 : m_Snapshot->m_Shards.size());
+  if (MayRestart && !m_Exchange->reserveMemory(
+                        CopyCount * messageBytes(m_Exchange->request()))) {
+    refuse({.m_Verdict = RunVerdict::NotRun,
+            .m_Reason = Errc::Overloaded,
+            .m_Message = "the VM has no memory left for the request"});
+    return;
+  }
   m_Query = std::make_unique<ScatterGather>(
       ScatterGatherOptions{.m_Snapshot = m_Snapshot,
                            .m_Deadline = m_Deadline,
--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -83,6 +83,14 @@
            Now);
     return;
   }
+  // Each call has its own copy of the request.
+  const std::size_t CallCount =
+      route().m_Search ? route().m_Search->m_Shards.size() : 1;
+  if (!m_Exchange->reserveMemory(CallCount *
+                                 messageBytes(m_Exchange->request()))) {
+    refuse(Errc::Overloaded, "The VM has no memory left for the request.", Now);
+    return;
+  }
   m_Exchange->onCallerDisconnect([Self = weak_from_this()] {
     if (const auto Runner = Self.lock())
       Runner->onCallerDisconnect();
--- a/src/protocol/HttpMessage.cpp
+++ b/src/protocol/HttpMessage.cpp
@@ -42,4 +42,12 @@
   return Bytes;
 }
 
+std::size_t messageBytes(const HttpRequest &Request) {
+  constexpr std::size_t Separators = 4; // ": " and the line break.
+  std::size_t Bytes = Request.m_Body.size() + Request.m_Target.size();
+  for (const auto &[Name, Value] : Request.m_Headers)
+    Bytes += Name.size() + Value.size() + Separators;
+  return Bytes;
+}
+
 } // namespace figturn
--- a/src/protocol/HttpMessage.h
+++ b/src/protocol/HttpMessage.h
@@ -45,6 +45,9 @@
 /** Bytes that \p Request holds. */
 std::size_t heldBytes(const HttpRequest &Request);
 
+/** Bytes of \p Request when it is sent. */
+std::size_t messageBytes(const HttpRequest &Request);
+
 /** A response to send; the server adds Content-Length. */
 struct HttpResponse {
   unsigned m_Status = 200;
