Don't break off answers in transit, nor waiting connections at a stop

To make room for a new connection, one whose answer was just being sent could be closed; now only after a second without progress. A connection that waits for room at the moment of a planned stop was closed unread; now it is taken over like those in the kernel's queue. A refused HEAD request got a body.

Evidence: ConnectionBudgetTest/Connection_sendingAnAnswer_isReplacedWhenStalled for the first; the other two have no test.

--- a/src/coordination/ConnectionBudget.cpp
+++ b/src/coordination/ConnectionBudget.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t BytesPerMiB = 1048576;
+
 /** Shares of a process's memory and descriptors that callers may take. */
 constexpr std::size_t MemoryDivisor = 5;
 constexpr std::size_t DescriptorDivisor = 2;
@@ -42,6 +44,9 @@
 /** Bytes below which the budget counts as having room again. */
 constexpr std::size_t roomyBytes(std::size_t Max) { return Max / 4 * 3; }
 
+/** Time after which an answer that isn't read may be broken off. */
+constexpr seconds StallTime{1};
+
 /** Connections proposed for closing, of those without and of those with an
  *  incomplete message; some may turn out to be in use. */
 constexpr std::size_t MaxCandidates = 8;
@@ -52,17 +57,17 @@
 
 } // namespace
 
-ConnectionBudgetOptions connectionBudgetOf(std::size_t MemoryBytes,
+ConnectionBudgetOptions connectionBudgetOf(std::size_t MemoryMiB,
                                            std::size_t Descriptors) {
-  return {.m_MaxBytes = MemoryBytes / MemoryDivisor,
+  return {.m_MaxBytes = MemoryMiB * BytesPerMiB / MemoryDivisor,
           .m_MaxConnections = Descriptors / DescriptorDivisor};
 }
 
 ConnectionBudget::ConnectionBudget(ConnectionBudgetOptions Options)
     : m_Options(Options) {}
 
-auto ConnectionBudget::admit(const std::string &Client,
-                             std::size_t Thread) const -> Admission {
+auto ConnectionBudget::admit(const std::string &Client, std::size_t Thread,
+                             TimePoint Now) const -> Admission {
   const std::lock_guard Lock(m_Mutex);
   const auto Own = m_Shares.find(Client);
   const bool IsClientAtLimit =
@@ -82,17 +87,21 @@
     ConnectionId m_Id;
   };
   std::vector<Candidate> Unused;
-  std::vector<Candidate> Receiving;
+  std::vector<Candidate> Incomplete;
+  const auto IsProgressing = [Now](const Connection &Each) {
+    return Each.m_Use.m_Phase == ConnectionPhase::Sending &&
+           Now - Each.m_ProgressAt < StallTime;
+  };
   for (const auto &[Id, Each] : m_Connections) {
     if (Each.m_IsLeaving || Each.m_Use.m_Phase == ConnectionPhase::Pending ||
-        (IsClientAtLimit && Each.m_Client != Client) ||
+        IsProgressing(Each) || (IsClientAtLimit && Each.m_Client != Client) ||
         (!Result.m_IsWithinTolerance && Each.m_Thread != Thread))
       continue;
-    (Each.m_Use.m_Phase == ConnectionPhase::Receiving ? Receiving : Unused)
+    (Each.m_Use.m_Phase >= ConnectionPhase::Receiving ? Incomplete : Unused)
         .push_back({m_Shares.at(Each.m_Client).m_Connections,
                     Each.m_Use.m_Phase, Each.m_ProgressAt, Id});
   }
-  for (std::vector<Candidate> *Each : {&Unused, &Receiving}) {
+  for (std::vector<Candidate> *Each : {&Unused, &Incomplete}) {
     const std::size_t Count = std::min(MaxCandidates, Each->size());
     std::partial_sort(
         Each->begin(), Each->begin() + static_cast<std::ptrdiff_t>(Count),
--- a/src/coordination/ConnectionBudget.h
+++ b/src/coordination/ConnectionBudget.h
@@ -27,9 +27,9 @@
   std::size_t m_MaxConnections = 0;
 };
 
-/** The limits of a process that may use \p MemoryBytes and \p Descriptors; the
+/** The limits of a process that may use \p MemoryMiB and \p Descriptors; the
  *  rest of both is for targets, the platform and other VMs. */
-ConnectionBudgetOptions connectionBudgetOf(std::size_t MemoryBytes,
+ConnectionBudgetOptions connectionBudgetOf(std::size_t MemoryMiB,
                                            std::size_t Descriptors);
 
 /** What a connection does; earlier values are closed first at the limit of
@@ -37,7 +37,8 @@
 enum class ConnectionPhase {
   Closing,   ///< Its last answer is sent.
   Idle,      ///< Between requests.
-  Receiving, ///< A request is incomplete, or an answer is not yet sent.
+  Receiving, ///< A request is incomplete.
+  Sending,   ///< An answer is not yet sent. Closed only without progress.
   Pending    ///< A request is in progress. Never closed.
 };
 
@@ -67,18 +68,19 @@
 
   explicit ConnectionBudget(ConnectionBudgetOptions Options);
 
-  /** The connections one of which has to close for a new one of \p Client,
-   *  best first. */
+  /** Whether there is room for a new connection. If not, one of the candidates
+   *  has to close for it. */
   struct Admission {
     bool m_HasRoom = true;
     /** Without room: whether the limit may be exceeded until a candidate of
      *  another thread is closed. If not, there are only candidates of the
      *  accepting thread. */
     bool m_IsWithinTolerance = false;
-    ConnectionIds m_Candidates;
+    ConnectionIds m_Candidates; ///< Best first.
   };
   /** \p Thread is the one that accepts connections. */
-  Admission admit(const std::string &Client, std::size_t Thread) const;
+  Admission admit(const std::string &Client, std::size_t Thread,
+                  TimePoint Now) const;
 
   /** A candidate closes soon; it isn't proposed again before its next update.
    */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -17,8 +17,6 @@
 
 constexpr milliseconds DrainPollInterval{100};
 
-constexpr std::size_t BytesPerMiB = 1048576;
-
 std::uint64_t randomBits() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32) | Device();
@@ -43,9 +41,8 @@
   const auto Address = parseSocketAddress(Settings.m_CallerAddress);
   return {.m_Address = Address->m_Host,
           .m_Port = Address->m_Port,
-          .m_Connections =
-              std::make_shared<CallerConnections>(connectionBudgetOf(
-                  Settings.m_MemoryMiB * BytesPerMiB, Settings.m_Descriptors)),
+          .m_Connections = std::make_shared<CallerConnections>(
+              connectionBudgetOf(Settings.m_MemoryMiB, Settings.m_Descriptors)),
           .m_MayHaveRunBefore = mayHaveRunBefore};
 }
 
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -43,8 +43,6 @@
  *  killed. */
 constexpr double DrainServingFraction = 0.5;
 
-constexpr std::size_t BytesPerMiB = 1048576;
-
 constexpr unsigned StatusNotFound = 404;
 constexpr const char *StatusPath = "/v1/status";
 constexpr const char *MetricsPath = "/metrics";
@@ -98,9 +96,8 @@
                  [this] { return m_Platform.m_Adapter->isCurrent(); }),
       m_Gossip(m_Fleet, m_Context.crashQuarantine()),
       m_DirectoryPolicy({}, Seed),
-      m_CallerConnections(
-          std::make_shared<CallerConnections>(connectionBudgetOf(
-              Settings.m_MemoryMiB * BytesPerMiB, Settings.m_Descriptors))),
+      m_CallerConnections(std::make_shared<CallerConnections>(
+          connectionBudgetOf(Settings.m_MemoryMiB, Settings.m_Descriptors))),
       m_StateCopier(*m_Platform.m_Adapter, m_Fleet,
                     [this] { onFleetChange(); }),
       m_Drain(drainOptions(Settings)) {
--- a/src/transport/CallerConnections.cpp
+++ b/src/transport/CallerConnections.cpp
@@ -7,8 +7,8 @@
 namespace figturn {
 
 auto CallerConnections::makeRoom(const std::string &Client,
-                                 std::size_t Acceptor) -> Room {
-  const auto Admission = m_Budget.admit(Client, Acceptor);
+                                 std::size_t Acceptor, TimePoint Now) -> Room {
+  const auto Admission = m_Budget.admit(Client, Acceptor, Now);
   if (Admission.m_HasRoom)
     return Room::Available;
   for (const ConnectionId Id : Admission.m_Candidates)
--- a/src/transport/CallerConnections.h
+++ b/src/transport/CallerConnections.h
@@ -48,7 +48,7 @@
   };
   /** Closes another connection at the limit, to make room for one of \p Client.
    *  To be called on thread \p Acceptor. */
-  Room makeRoom(const std::string &Client, std::size_t Acceptor);
+  Room makeRoom(const std::string &Client, std::size_t Acceptor, TimePoint Now);
   /** Opens a connection that belongs to thread \p Owner. */
   ConnectionId open(const std::string &Client, std::size_t Owner,
                     TimePoint Now) {
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -278,6 +278,7 @@
   if (!Pipelined.m_Exchange->reserveMemory(
           heldBytes(Pipelined.m_Exchange->request()) + RequestOverhead)) {
     refuseRequest(StatusOverloaded, Pipelined.m_Exchange->request().m_Target);
+    m_Pipeline.back().m_Framing.m_OmitBody = Pipelined.m_Framing.m_OmitBody;
     return;
   }
   HttpExchangePtr Handled = Pipelined.m_Exchange;
@@ -349,7 +350,9 @@
 ConnectionPhase HttpConnection::phase() const {
   if (hasPendingRequest())
     return ConnectionPhase::Pending;
-  if (m_RequestStarted || !m_Pipeline.empty() || m_Socket.bytesToWrite() > 0)
+  if (!m_Pipeline.empty() || m_Socket.bytesToWrite() > 0)
+    return ConnectionPhase::Sending;
+  if (m_RequestStarted)
     return ConnectionPhase::Receiving;
   return m_Lingering ? ConnectionPhase::Closing : ConnectionPhase::Idle;
 }
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -141,13 +141,20 @@
    *  reset with the listening socket, with their requests unanswered. */
   void acceptPending() {
     runOnWorker(ListenWorker, [this] {
-      if (m_Listener)
-        m_Listener->waitForNewConnection(0);
+      if (!m_Listener)
+        return;
+      if (m_WaitingSocket)
+        assignToWorker(std::exchange(m_WaitingSocket, nullptr), Clock::now());
+      m_Listener->resume();
+      m_Listener->waitForNewConnection(0);
     });
   }
 
   void stopListening() {
-    runOnWorker(ListenWorker, [this] { delete m_Listener.data(); });
+    runOnWorker(ListenWorker, [this] {
+      delete m_Listener.data();
+      m_WaitingSocket.reset();
+    });
   }
 
   void closeIdle() {
@@ -213,31 +220,37 @@
 
   void onAccepted(qintptr Descriptor) {
     const TimePoint Now = Clock::now();
+    m_WaitsUntil = Now + MaxWaitForRoom;
     admit(std::make_shared<AcceptedSocket>(Descriptor, m_State->m_Connections),
-          Now, Now + MaxWaitForRoom);
+          Now);
   }
 
-  /** Takes over \p Socket, or refuses it if there is no room for it. Waits
-   * until \p GiveUpAt for connections whose requests are not read yet, because
-   * they don't give way before it is known what they hold. */
-  void admit(AcceptedSocketPtr Socket, TimePoint Now, TimePoint GiveUpAt) {
+  /** Takes over \p Socket, or refuses it if there is no room for it. Waits a
+   *  moment for connections whose requests are not read yet, because they don't
+   *  give way before it is known what they hold. */
+  void admit(AcceptedSocketPtr Socket, TimePoint Now) {
     const auto Room =
-        m_State->m_Connections->makeRoom(Socket->client(), ListenWorker);
+        m_State->m_Connections->makeRoom(Socket->client(), ListenWorker, Now);
     if (Room == CallerConnections::Room::Available) {
       assignToWorker(std::move(Socket), Now);
-    } else if (Room == CallerConnections::Room::NotYet && Now < GiveUpAt) {
+    } else if (Room == CallerConnections::Room::NotYet && Now < m_WaitsUntil) {
+      m_WaitingSocket = std::move(Socket);
       m_Listener->pause();
-      QTimer::singleShot(RetryInterval, m_Listener,
-                         [this, Socket = std::move(Socket), GiveUpAt] {
-                           m_Listener->resume();
-                           admit(Socket, Clock::now(), GiveUpAt);
-                         });
+      resumeAfter(RetryInterval);
     } else {
       logEvent(Event::ConnectionRefused, "client={} open={}", Socket->client(),
                m_State->m_OpenConnections.load());
     }
   }
 
+  void resumeAfter(milliseconds Interval) {
+    QTimer::singleShot(Interval, m_Listener, [this] {
+      m_Listener->resume();
+      if (m_WaitingSocket)
+        admit(std::exchange(m_WaitingSocket, nullptr), Clock::now());
+    });
+  }
+
   void assignToWorker(AcceptedSocketPtr Socket, TimePoint Now) {
     ++m_State->m_OpenConnections;
     const std::size_t Index = m_NextWorker++ % m_Workers.size();
@@ -255,7 +268,10 @@
       m_Workers.post(Index, std::move(Take));
   }
 
-  QPointer<Listener> m_Listener; ///< Accessed by its worker only.
+  // Accessed by the listening worker only.
+  QPointer<Listener> m_Listener;
+  AcceptedSocketPtr m_WaitingSocket; ///< Accepted, without room yet.
+  TimePoint m_WaitsUntil;
   std::size_t m_NextWorker = 0;
 };
 
--- a/test/correctness/ConnectionBudgetTest.cpp
+++ b/test/correctness/ConnectionBudgetTest.cpp
@@ -120,12 +120,20 @@
     m_Now += seconds(1);
     hold(All[I], 0, ConnectionPhase::Idle);
   }
-  const auto Admission = m_Budget.admit("c", Thread);
+  const auto Admission = m_Budget.admit("c", Thread, m_Now);
   BOOST_TEST(!Admission.m_HasRoom);
   BOOST_TEST((Admission.m_Candidates ==
               Ids{All[2], All[3], All[4], All[5], All[6], All[7], All[1]}));
   m_Budget.close(All[3]);
-  BOOST_TEST(m_Budget.admit("c", Thread).m_HasRoom);
+  BOOST_TEST(m_Budget.admit("c", Thread, m_Now).m_HasRoom);
+}
+
+BOOST_AUTO_TEST_CASE(Connection_sendingAnAnswer_isReplacedWhenStalled) {
+  for (int I = 0; I < 8; ++I)
+    hold(open(I % 2 == 0 ? "a" : "b"), 10, ConnectionPhase::Sending);
+  BOOST_TEST(m_Budget.admit("c", Thread, m_Now).m_Candidates.empty());
+  m_Now += seconds(1);
+  BOOST_TEST(m_Budget.admit("c", Thread, m_Now).m_Candidates.size() == 8U);
 }
 
 BOOST_AUTO_TEST_CASE(Connection_ofAClientAtItsShare_replacesItsOwn) {
@@ -133,10 +141,10 @@
   for (int I = 0; I < 6; ++I)
     Crowd.push_back(open("a"));
   const Id Other = open("b");
-  const auto Admission = m_Budget.admit("a", Thread);
+  const auto Admission = m_Budget.admit("a", Thread, m_Now);
   BOOST_TEST(!Admission.m_HasRoom);
   BOOST_TEST((Admission.m_Candidates == Crowd));
-  BOOST_TEST(m_Budget.admit("b", Thread).m_HasRoom);
+  BOOST_TEST(m_Budget.admit("b", Thread, m_Now).m_HasRoom);
   BOOST_TEST(Other != 0U);
 }
 
@@ -152,7 +160,7 @@
       Open.push_back(open(Client, Random() % 2));
     if (!Open.empty())
       hold(Open[Random() % Open.size()], Random() % 300000,
-           static_cast<ConnectionPhase>(Random() % 4));
+           static_cast<ConnectionPhase>(Random() % 5));
     if (const std::size_t Bytes = Random() % 90000;
         m_Budget.chargeRequest(Client, Random() % 2, 0, Bytes, m_Now)
             .m_IsAccepted)
