Continue to accept connections after an error

A VM that once had no descriptor left for a new connection never accepted one again: the listener pauses itself at such an error, and nothing resumed it.

Evidence: HttpServerTest/Connection_withoutDescriptorForIt_isAcceptedLater takes all descriptors of the process for a moment.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -46,6 +46,9 @@
 constexpr milliseconds MaxWaitForRoom{200};
 constexpr milliseconds RetryInterval{5};
 
+/** How long accepting pauses after an error. */
+constexpr milliseconds AcceptErrorPause{50};
+
 /** Owns an accepted socket, and its place in the budget, until a worker takes
  *  it over. */
 class AcceptedSocket {
@@ -209,6 +212,8 @@
     m_Listener =
         new Listener(m_Workers.context(ListenWorker),
                      [this](qintptr Descriptor) { onAccepted(Descriptor); });
+    QObject::connect(m_Listener, &QTcpServer::acceptError, m_Listener,
+                     [this] { onAcceptError(); });
     if (!m_Listener->listen(Address, Options.m_Port)) {
       const auto Error = listenError(m_Listener->serverError());
       delete m_Listener.data();
@@ -251,6 +256,15 @@
     });
   }
 
+  /** Without this, accepting would end with the first error, such as the lack
+   *  of a descriptor. */
+  void onAcceptError() {
+    logEvent(Event::AcceptFailed, "error={} open={}",
+             m_Listener->errorString().toStdString(),
+             m_State->m_OpenConnections.load());
+    resumeAfter(AcceptErrorPause);
+  }
+
   void assignToWorker(AcceptedSocketPtr Socket, TimePoint Now) {
     ++m_State->m_OpenConnections;
     const std::size_t Index = m_NextWorker++ % m_Workers.size();
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace figturn;
@@ -276,6 +278,24 @@
   BOOST_TEST(Busy.receive().value().m_Body == "ok");
 }
 
+// Accepting ended for good when the process once had no descriptor left.
+BOOST_AUTO_TEST_CASE(Connection_withoutDescriptorForIt_isAcceptedLater) {
+  start();
+  std::vector<int> Descriptors;
+  const int Reserved = ::dup(STDIN_FILENO);
+  for (int Copy = ::dup(Reserved); Copy >= 0; Copy = ::dup(Reserved))
+    Descriptors.push_back(Copy);
+  ::close(Reserved); // For the client's end.
+  RawClient Client(port());
+  Client.send(serializePost("/a", ""));
+  std::this_thread::sleep_for(milliseconds(100));
+  BOOST_TEST(handledCount() == 0);
+  for (const int Each : Descriptors)
+    ::close(Each);
+  nextExchange()->respond({.m_Body = "ok"});
+  BOOST_TEST(Client.receive().value().m_Body == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(Memory_ofConnections_isReturnedOnEveryWayOut) {
   const auto Connections = std::make_shared<CallerConnections>(
       ConnectionBudgetOptions{.m_MaxBytes = 100000, .m_MaxConnections = 10});
