--- a/test/correctness/TargetPoolTest.cpp
+++ b/test/correctness/TargetPoolTest.cpp
@@ -172,6 +172,23 @@
   }
 }
 
+// A target in trouble sends an answer whose status is 000.
+BOOST_AUTO_TEST_CASE(Reply_withStatus000_isABadReply) {
+  start();
+  std::uint64_t Id = 0;
+  for (const char *Rest :
+       {" OK\r\nContent-Length: 2\r\n\r\n{}", "\r\n\r\n",
+        " \r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+    send(call(++Id));
+    m_Target.nextRequest().m_Connection->sendBytes(std::string("HTTP/1.1 000") +
+                                                   Rest);
+    const auto Result = waitForResult(Id);
+    BOOST_TEST((Result.m_Error == Errc::BadReply));
+    BOOST_TEST((Result.m_Verdict == RunVerdict::MayHaveRun));
+    BOOST_TEST(Result.m_Body.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Reply_malformedOrOversize_isABadReply) {
   start({.m_ReplyLimit = 100});
   std::uint64_t Id = 0;
