--- a/src/coordination/ConnectionBudget.cpp
+++ b/src/coordination/ConnectionBudget.cpp
@@ -20,7 +20,7 @@
  *  ordinary ones. */
 constexpr std::size_t SmallRequest = 65536;
 
-/** Bytes that requests in progress may hold. They can't give way. */
+/** Bytes that requests in progress may hold. They can't be evicted. */
 constexpr std::size_t requestLimit(std::size_t Max, bool IsSmall) {
   return IsSmall ? Max : Max / 4 * 3;
 }
@@ -42,7 +42,7 @@
 constexpr std::size_t toleratedBytes(std::size_t Max) { return Max + Max / 4; }
 
 /** Bytes below which the budget counts as having room again. */
-constexpr std::size_t roomyBytes(std::size_t Max) { return Max / 4 * 3; }
+constexpr std::size_t lowWaterMark(std::size_t Max) { return Max / 4 * 3; }
 
 /** Time after which an answer that isn't read may be broken off. */
 constexpr seconds StallTime{1};
@@ -93,8 +93,9 @@
            Now - Each.m_ProgressAt < StallTime;
   };
   for (const auto &[Id, Each] : m_Connections) {
-    if (Each.m_IsLeaving || Each.m_Use.m_Phase == ConnectionPhase::Pending ||
-        IsProgressing(Each) || (IsClientAtLimit && Each.m_Client != Client) ||
+    if (Each.m_IsEvictionPending ||
+        Each.m_Use.m_Phase == ConnectionPhase::Pending || IsProgressing(Each) ||
+        (IsClientAtLimit && Each.m_Client != Client) ||
         (!Result.m_IsWithinTolerance && Each.m_Thread != Thread))
       continue;
     (Each.m_Use.m_Phase >= ConnectionPhase::Receiving ? Incomplete : Unused)
@@ -117,13 +118,13 @@
   return Result;
 }
 
-void ConnectionBudget::setLeaving(ConnectionId Id) {
+void ConnectionBudget::setEvictionPending(ConnectionId Id) {
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Connections.find(Id);
   if (Found == m_Connections.end() ||
-      std::exchange(Found->second.m_IsLeaving, true))
+      std::exchange(Found->second.m_IsEvictionPending, true))
     return;
-  m_LeavingBytes += Found->second.m_Use.m_Bytes;
+  m_PendingEvictionBytes += Found->second.m_Use.m_Bytes;
 }
 
 auto ConnectionBudget::open(const std::string &Client, std::size_t Thread,
@@ -165,7 +166,7 @@
     Updated.m_ProgressAt = Now;
   if (HasGrown)
     releaseUntilWithinLimit(Result, Updated.m_Thread, Now);
-  Result.m_IsAccepted = std::erase(Result.m_GiveWay, Id) == 0;
+  Result.m_IsAccepted = std::erase(Result.m_Evicted, Id) == 0;
   return Result;
 }
 
@@ -210,45 +211,45 @@
                                 std::size_t Added) {
   m_Shares[Client].m_Bytes += Added - Removed;
   m_Bytes += Added - Removed;
-  if (m_Bytes < roomyBytes(m_Options.m_MaxBytes))
+  if (m_Bytes < lowWaterMark(m_Options.m_MaxBytes))
     m_IsFull = false;
 }
 
 void ConnectionBudget::removeBytes(Connection &Released) {
-  if (std::exchange(Released.m_IsLeaving, false))
-    m_LeavingBytes -= Released.m_Use.m_Bytes;
+  if (std::exchange(Released.m_IsEvictionPending, false))
+    m_PendingEvictionBytes -= Released.m_Use.m_Bytes;
   addBytes(Released.m_Client, std::exchange(Released.m_Use.m_Bytes, 0), 0);
 }
 
 void ConnectionBudget::releaseUntilWithinLimit(Verdict &Result,
                                                std::size_t Thread,
                                                TimePoint Now) {
-  while (m_Bytes - m_LeavingBytes > m_Options.m_MaxBytes) {
+  while (m_Bytes - m_PendingEvictionBytes > m_Options.m_MaxBytes) {
     Result.m_IsNewlyFull |= !std::exchange(m_IsFull, true);
-    const auto Id = selectHolder(std::nullopt, Now);
+    const auto Id = selectForEviction(std::nullopt, Now);
     if (!Id)
       break;
     Connection &Selected = m_Connections.at(*Id);
     if (Selected.m_Thread == Thread) {
       removeBytes(Selected);
     } else {
-      Selected.m_IsLeaving = true;
-      m_LeavingBytes += Selected.m_Use.m_Bytes;
+      Selected.m_IsEvictionPending = true;
+      m_PendingEvictionBytes += Selected.m_Use.m_Bytes;
     }
-    Result.m_GiveWay.push_back(*Id);
+    Result.m_Evicted.push_back(*Id);
   }
   // Other threads may be busy.
   while (m_Bytes > toleratedBytes(m_Options.m_MaxBytes)) {
-    const auto Id = selectHolder(Thread, Now);
+    const auto Id = selectForEviction(Thread, Now);
     if (!Id)
       break;
     removeBytes(m_Connections.at(*Id));
-    Result.m_GiveWay.push_back(*Id);
+    Result.m_Evicted.push_back(*Id);
   }
 }
 
-auto ConnectionBudget::selectHolder(std::optional<std::size_t> Thread,
-                                    TimePoint Now) const
+auto ConnectionBudget::selectForEviction(std::optional<std::size_t> Thread,
+                                         TimePoint Now) const
     -> std::optional<ConnectionId> {
   // Among a client's connections, the one that has held the most bytes for the
   // longest time without progress. Bytes decide between those that have just
@@ -261,7 +262,7 @@
   std::optional<ConnectionId> Selected;
   decltype(Rank(std::declval<Connection>())) Highest{};
   for (const auto &[Id, Each] : m_Connections) {
-    if (Each.m_Use.m_Bytes == 0 || Each.m_IsLeaving ||
+    if (Each.m_Use.m_Bytes == 0 || Each.m_IsEvictionPending ||
         (Thread && Each.m_Thread != *Thread))
       continue;
     const auto Own = Rank(Each);
--- a/src/coordination/ConnectionBudget.h
+++ b/src/coordination/ConnectionBudget.h
@@ -6,7 +6,8 @@
  * and the bytes of incomplete requests, requests in progress and unsent
  * answers. Limits of one connection or one message don't suffice for that,
  * because callers may open many. At a limit, the connections without progress
- * give way first, and those of the client with the largest share before others.
+ * are evicted first, and those of the client with the largest share before
+ * others.
  */
 
 #include "state/RankedMutex.h"
@@ -50,19 +51,19 @@
   std::size_t m_Bytes = 0;
 };
 
-/** Counts what connections hold and selects those that must give way.
+/** Counts what connections hold and selects those to evict.
  *  Thread-safe. */
 class ConnectionBudget {
 public:
   using ConnectionId = std::uint64_t;
   using ConnectionIds = std::vector<ConnectionId>;
 
-  /** What to do after a change. The selected connections must release their
+  /** What to do after a change. The evicted connections must release their
    *  bytes: those of the same thread at once, because they no longer count,
    *  those of other threads soon. */
   struct Verdict {
-    bool m_IsAccepted = true; ///< Else the one that changed must give way.
-    ConnectionIds m_GiveWay;
+    bool m_IsAccepted = true; ///< If not, evict the one that changed.
+    ConnectionIds m_Evicted;
     bool m_IsNewlyFull = false; ///< The first time since there was room.
   };
 
@@ -84,7 +85,7 @@
 
   /** A candidate closes soon; it isn't proposed again before its next update.
    */
-  void setLeaving(ConnectionId Id);
+  void setEvictionPending(ConnectionId Id);
 
   /** \p Thread is the one that the connection belongs to. */
   ConnectionId open(const std::string &Client, std::size_t Thread,
@@ -113,7 +114,7 @@
     std::size_t m_Thread = 0;
     ConnectionUse m_Use;
     TimePoint m_ProgressAt;
-    bool m_IsLeaving = false;
+    bool m_IsEvictionPending = false;
   };
   struct Share {
     std::size_t m_Connections = 0;
@@ -126,8 +127,8 @@
   void removeBytes(Connection &Released);
   void releaseUntilWithinLimit(Verdict &Result, std::size_t Thread,
                                TimePoint Now);
-  std::optional<ConnectionId> selectHolder(std::optional<std::size_t> Thread,
-                                           TimePoint Now) const;
+  std::optional<ConnectionId>
+  selectForEviction(std::optional<std::size_t> Thread, TimePoint Now) const;
   void eraseUnusedShare(const std::string &Client);
 
   ConnectionBudgetOptions m_Options;
@@ -136,7 +137,7 @@
   std::unordered_map<std::string, Share> m_Shares; ///< By client.
   ConnectionId m_NextId = 1;
   std::size_t m_Bytes = 0;
-  std::size_t m_LeavingBytes = 0; ///< Of those, about to be released.
+  std::size_t m_PendingEvictionBytes = 0; ///< Of those, about to be released.
   std::size_t m_RequestBytes = 0;
   bool m_IsFull = false;
 };
--- a/src/transport/CallerConnections.cpp
+++ b/src/transport/CallerConnections.cpp
@@ -12,27 +12,27 @@
   if (Admission.m_HasRoom)
     return Room::Available;
   for (const ConnectionId Id : Admission.m_Candidates)
-    switch (requestRelief(Id, Relief::Connection)) {
-    case Relieved::Done:
+    switch (evict(Id, EvictionKind::Connection)) {
+    case EvictionResult::Done:
       return Room::Available;
-    case Relieved::Later:
-      m_Budget.setLeaving(Id);
+    case EvictionResult::Later:
+      m_Budget.setEvictionPending(Id);
       return Admission.m_IsWithinTolerance ? Room::Available : Room::NotYet;
-    case Relieved::InUse:
+    case EvictionResult::InUse:
       break;
     }
   return Admission.m_Candidates.empty() ? Room::None : Room::NotYet;
 }
 
-void CallerConnections::setGiveWay(ConnectionId Id, GiveWay OnGiveWay) {
+void CallerConnections::setEvictor(ConnectionId Id, Evictor Evict) {
   const std::lock_guard Lock(m_Mutex);
-  m_GiveWay.emplace(Id, std::move(OnGiveWay));
+  m_Evictors.emplace(Id, std::move(Evict));
 }
 
 void CallerConnections::close(ConnectionId Id) {
   m_Budget.close(Id);
   const std::lock_guard Lock(m_Mutex);
-  m_GiveWay.erase(Id);
+  m_Evictors.erase(Id);
 }
 
 bool CallerConnections::update(ConnectionId Id, ConnectionUse Use,
@@ -43,21 +43,21 @@
 bool CallerConnections::apply(const ConnectionBudget::Verdict &Verdict) {
   if (Verdict.m_IsNewlyFull)
     logEvent(Event::CallerMemoryFull, "held={}", m_Budget.heldBytes());
-  for (const ConnectionId Id : Verdict.m_GiveWay)
-    requestRelief(Id, Relief::Memory);
+  for (const ConnectionId Id : Verdict.m_Evicted)
+    evict(Id, EvictionKind::Memory);
   return Verdict.m_IsAccepted;
 }
 
-Relieved CallerConnections::requestRelief(ConnectionId Id, Relief Kind) {
-  GiveWay OnGiveWay;
+EvictionResult CallerConnections::evict(ConnectionId Id, EvictionKind Kind) {
+  Evictor Evict;
   {
     const std::lock_guard Lock(m_Mutex);
-    const auto Found = m_GiveWay.find(Id);
-    if (Found == m_GiveWay.end())
-      return Relieved::InUse;
-    OnGiveWay = Found->second;
+    const auto Found = m_Evictors.find(Id);
+    if (Found == m_Evictors.end())
+      return EvictionResult::InUse;
+    Evict = Found->second;
   }
-  return OnGiveWay(Kind);
+  return Evict(Kind);
 }
 
 RequestCharge::~RequestCharge() {
--- a/src/transport/CallerConnections.h
+++ b/src/transport/CallerConnections.h
@@ -3,7 +3,7 @@
 
 /**
  * The connections of callers to all HTTP servers of a process, with the budget
- * that they share. Makes the connections give way that the budget selects.
+ * that they share. Evicts the connections that the budget selects.
  */
 
 #include "coordination/ConnectionBudget.h"
@@ -17,25 +17,25 @@
 
 namespace figturn {
 
-/** What a connection must release. */
-enum class Relief {
+/** What an evicted connection must release. */
+enum class EvictionKind {
   Memory,    ///< Its incomplete request or its unsent answers.
   Connection ///< The connection itself, unless a request is in progress.
 };
 
-/** How a connection complied. */
-enum class Relieved {
+/** How a connection complied with an eviction. */
+enum class EvictionResult {
   Done,
   Later, ///< It is in a handler, or owned by another thread.
-  InUse  ///< It didn't.
+  InUse  ///< It has released nothing.
 };
 
 /** Thread-safe. */
 class CallerConnections {
 public:
   using ConnectionId = ConnectionBudget::ConnectionId;
-  /** Releases what is asked for, or asks the connection's thread for it. */
-  using GiveWay = std::function<Relieved(Relief)>;
+  /** Evicts a connection, or asks its thread to do so. */
+  using Evictor = std::function<EvictionResult(EvictionKind)>;
 
   explicit CallerConnections(ConnectionBudgetOptions Options)
       : m_Budget(Options) {}
@@ -43,19 +43,19 @@
   /** Result of makeRoom(). */
   enum class Room {
     Available,
-    NotYet, ///< Connections whose requests aren't read yet take it.
+    NotYet, ///< Connections take it whose requests are not read yet.
     None
   };
-  /** Closes another connection at the limit, to make room for one of \p Client.
-   *  To be called on thread \p Acceptor. */
+  /** Closes another connection, if necessary, to make room for one of \p
+   * Client. To be called on thread \p Acceptor. */
   Room makeRoom(const std::string &Client, std::size_t Acceptor, TimePoint Now);
   /** Opens a connection that belongs to thread \p Owner. */
   ConnectionId open(const std::string &Client, std::size_t Owner,
                     TimePoint Now) {
     return m_Budget.open(Client, Owner, Now);
   }
-  /** Sets how the connection gives way; until then, it is in use. */
-  void setGiveWay(ConnectionId Id, GiveWay OnGiveWay);
+  /** Sets how to evict the connection; until then, it counts as in use. */
+  void setEvictor(ConnectionId Id, Evictor Evict);
   void close(ConnectionId Id);
 
   /** Like ConnectionBudget::update(); returns false if the connection itself
@@ -69,11 +69,11 @@
   friend class RequestCharge;
 
   bool apply(const ConnectionBudget::Verdict &Verdict);
-  Relieved requestRelief(ConnectionId Id, Relief Kind);
+  EvictionResult evict(ConnectionId Id, EvictionKind Kind);
 
   ConnectionBudget m_Budget;
-  std::mutex m_Mutex; ///< Guards m_GiveWay; not held during its calls.
-  std::unordered_map<ConnectionId, GiveWay> m_GiveWay;
+  std::mutex m_Mutex; ///< Guards m_Evictors; not held during its calls.
+  std::unordered_map<ConnectionId, Evictor> m_Evictors;
 };
 
 /** The bytes of one complete request, which its destructor releases. Not
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -171,15 +171,16 @@
       m_Reader(m_State->m_Options.m_HeaderLimit,
                m_State->m_Options.m_BodyLimit) {
   m_State->m_ConnectionsByWorker[m_Worker].insert(this);
-  m_State->m_Connections->setGiveWay(
-      m_Id, [Shared = m_State, Worker, Self = QPointer(this)](Relief Kind) {
+  m_State->m_Connections->setEvictor(
+      m_Id,
+      [Shared = m_State, Worker, Self = QPointer(this)](EvictionKind Kind) {
         if (Shared->isOnWorker(Worker))
-          return Self ? Self->giveWay(Kind) : Relieved::Done;
+          return Self ? Self->evict(Kind) : EvictionResult::Done;
         Shared->post(Worker, [Self, Kind] {
           if (Self)
-            Self->giveWay(Kind);
+            Self->evict(Kind);
         });
-        return Relieved::Later;
+        return EvictionResult::Later;
       });
   m_Timer.setSingleShot(true);
   connect(&m_Timer, &QTimer::timeout, this, &HttpConnection::onTimeout);
@@ -371,18 +372,18 @@
     releaseMemory();
 }
 
-Relieved HttpConnection::giveWay(Relief Kind) {
+EvictionResult HttpConnection::evict(EvictionKind Kind) {
   if (m_Closed)
-    return Relieved::Done;
+    return EvictionResult::Done;
   if (m_ProcessingInput) {
     QMetaObject::invokeMethod(
-        this, [this, Kind] { giveWay(Kind); }, Qt::QueuedConnection);
-    return Relieved::Later;
+        this, [this, Kind] { evict(Kind); }, Qt::QueuedConnection);
+    return EvictionResult::Later;
   }
-  if (Kind == Relief::Connection)
+  if (Kind == EvictionKind::Connection)
     return closeUnlessInUse();
   releaseMemory();
-  return Relieved::Done;
+  return EvictionResult::Done;
 }
 
 void HttpConnection::releaseMemory() {
@@ -398,18 +399,18 @@
   updateUse();
 }
 
-Relieved HttpConnection::closeUnlessInUse() {
+EvictionResult HttpConnection::closeUnlessInUse() {
   if (hasPendingRequest())
-    return Relieved::InUse;
+    return EvictionResult::InUse;
   const bool IsIdle = !m_RequestStarted && !m_Lingering && m_Pipeline.empty();
   if (IsIdle && hasUnparsedBytes())
-    return Relieved::InUse;
+    return EvictionResult::InUse;
   if (m_RequestStarted) {
     refuseRequest(StatusOverloaded);
     writeAnswers();
   }
   closeNow();
-  return Relieved::Done;
+  return EvictionResult::Done;
 }
 
 void HttpConnection::setAnswer(std::uint64_t Request, HttpResponse Response) {
--- a/src/transport/HttpConnection.h
+++ b/src/transport/HttpConnection.h
@@ -68,9 +68,9 @@
   bool hasPendingRequest() const;
   std::size_t answerBytes() const;
   std::size_t requestBytes() const;
-  Relieved giveWay(Relief Kind);
+  EvictionResult evict(EvictionKind Kind);
   void releaseMemory();
-  Relieved closeUnlessInUse();
+  EvictionResult closeUnlessInUse();
   void writeAnswers();
   void writeNextAnswer();
   void writeContinue();
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -231,8 +231,8 @@
   }
 
   /** Takes over \p Socket, or refuses it if there is no room for it. Waits a
-   *  moment for connections whose requests are not read yet, because they don't
-   *  give way before it is known what they hold. */
+   *  moment for connections whose requests are not read yet, because they are
+   *  not evicted before it is known what they hold. */
   void admit(AcceptedSocketPtr Socket, TimePoint Now) {
     const auto Room =
         m_State->m_Connections->makeRoom(Socket->client(), ListenWorker, Now);
@@ -275,7 +275,7 @@
                          Socket->id(), Workers.context(Index));
     };
     // While many connections are accepted in one go, those that have been
-    // accepted must be able to give way to the next.
+    // accepted must be evictable for the next.
     if (Index == ListenWorker)
       Take();
     else
--- a/test/correctness/ConnectionBudgetTest.cpp
+++ b/test/correctness/ConnectionBudgetTest.cpp
@@ -42,7 +42,7 @@
   const Id New = open("a");
   const auto Verdict = hold(New, 200000);
   BOOST_TEST(Verdict.m_IsAccepted);
-  BOOST_TEST((Verdict.m_GiveWay == Ids{Stalled}));
+  BOOST_TEST((Verdict.m_Evicted == Ids{Stalled}));
   BOOST_TEST(Verdict.m_IsNewlyFull);
   BOOST_TEST(m_Budget.heldBytes() == 800000U);
 }
@@ -55,7 +55,7 @@
   for (int I = 0; I < 7; ++I)
     Crowd.push_back(open("a"));
   for (const Id Each : Crowd)
-    for (const Id Released : hold(Each, 300000).m_GiveWay)
+    for (const Id Released : hold(Each, 300000).m_Evicted)
       BOOST_TEST(Released != Other);
   BOOST_TEST(m_Budget.heldBytes() <= MaxBytes);
 }
@@ -73,7 +73,7 @@
   hold(Remote, 900000);
   m_Now += seconds(1);
   const Id Local = open("a");
-  BOOST_TEST((hold(Local, 300000).m_GiveWay == Ids{Remote}));
+  BOOST_TEST((hold(Local, 300000).m_Evicted == Ids{Remote}));
   BOOST_TEST(m_Budget.heldBytes() == 1200000U);
   // Beyond the tolerance, the local one has to give way.
   BOOST_TEST(!hold(Local, 400000).m_IsAccepted);
