End an eviction with less held than before

Two connections evicted each other for ever: what one held couldn't be released (a fixed charge for reading that pauses while requests are in progress, or input that wasn't part of a started request), so recording it again exceeded the limit and evicted the other.

Bytes that are read and not parsed are charged as they are, and discarded with the refusal. An evicted connection records what is left without evicting others, and connections that hold less than 4 KiB are not evicted for their bytes; before, a request in progress could be cut off for a few bytes of an answer before it.

--- a/src/coordination/ConnectionBudget.cpp
+++ b/src/coordination/ConnectionBudget.cpp
@@ -44,6 +44,9 @@
 /** Bytes below which the budget counts as having room again. */
 constexpr std::size_t lowWaterMark(std::size_t Max) { return Max / 4 * 3; }
 
+/** Connections that hold less are not evicted for their bytes. */
+constexpr std::size_t MinEvictedBytes = 4096;
+
 /** Time after which an answer that isn't read may be broken off. */
 constexpr seconds StallTime{1};
 
@@ -158,10 +161,7 @@
   if (Found == m_Connections.end())
     return Result;
   Connection &Updated = Found->second;
-  const bool HasGrown = Use.m_Bytes > Updated.m_Use.m_Bytes;
-  removeBytes(Updated);
-  addBytes(Updated.m_Client, 0, Use.m_Bytes);
-  Updated.m_Use = Use;
+  const bool HasGrown = replaceUse(Updated, Use);
   if (HasProgressed)
     Updated.m_ProgressAt = Now;
   if (HasGrown)
@@ -170,6 +170,20 @@
   return Result;
 }
 
+void ConnectionBudget::record(ConnectionId Id, ConnectionUse Use) {
+  const std::lock_guard Lock(m_Mutex);
+  if (const auto Found = m_Connections.find(Id); Found != m_Connections.end())
+    replaceUse(Found->second, Use);
+}
+
+bool ConnectionBudget::replaceUse(Connection &Updated, ConnectionUse Use) {
+  const bool HasGrown = Use.m_Bytes > Updated.m_Use.m_Bytes;
+  removeBytes(Updated);
+  addBytes(Updated.m_Client, 0, Use.m_Bytes);
+  Updated.m_Use = Use;
+  return HasGrown;
+}
+
 auto ConnectionBudget::chargeRequest(const std::string &Client,
                                      std::size_t Thread, std::size_t HeldBytes,
                                      std::size_t Bytes, TimePoint Now)
@@ -262,7 +276,7 @@
   std::optional<ConnectionId> Selected;
   decltype(Rank(std::declval<Connection>())) Highest{};
   for (const auto &[Id, Each] : m_Connections) {
-    if (Each.m_Use.m_Bytes == 0 || Each.m_IsEvictionPending ||
+    if (Each.m_Use.m_Bytes < MinEvictedBytes || Each.m_IsEvictionPending ||
         (Thread && Each.m_Thread != *Thread))
       continue;
     const auto Own = Rank(Each);
--- a/src/coordination/ConnectionBudget.h
+++ b/src/coordination/ConnectionBudget.h
@@ -97,6 +97,10 @@
   Verdict update(ConnectionId Id, ConnectionUse Use, bool HasProgressed,
                  TimePoint Now);
 
+  /** Like update(), without progress and evictions, for a connection that has
+   *  just been evicted. */
+  void record(ConnectionId Id, ConnectionUse Use);
+
   /** Charges \p Bytes of a complete request to \p Client, if it may have them
    *  while other requests are in progress. \p HeldBytes of the same request
    *  were charged before. */
@@ -124,6 +128,7 @@
 
   void addBytes(const std::string &Client, std::size_t Removed,
                 std::size_t Added);
+  bool replaceUse(Connection &Updated, ConnectionUse Use);
   void removeBytes(Connection &Released);
   void releaseUntilWithinLimit(Verdict &Result, std::size_t Thread,
                                TimePoint Now);
--- a/src/transport/CallerConnections.h
+++ b/src/transport/CallerConnections.h
@@ -63,6 +63,8 @@
   bool update(ConnectionId Id, ConnectionUse Use, bool HasProgressed,
               TimePoint Now);
 
+  void record(ConnectionId Id, ConnectionUse Use) { m_Budget.record(Id, Use); }
+
   std::size_t heldBytes() const { return m_Budget.heldBytes(); }
 
 private:
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -298,6 +298,7 @@
   m_StopReading = true;
   m_RequestStarted = false;
   m_Input = std::string();
+  m_Socket.skip(m_Socket.bytesAvailable());
   const std::uint64_t Number = m_FirstRequestNumber + m_Pipeline.size();
   PipelinedRequest Pipelined;
   Pipelined.m_Exchange =
@@ -339,9 +340,8 @@
 }
 
 std::size_t HttpConnection::requestBytes() const {
-  const bool IsPaused = !m_StopReading && !canReadMore();
-  const std::size_t Unread =
-      IsPaused ? static_cast<std::size_t>(ReadBufferSize) : 0;
+  const auto Unread =
+      m_StopReading ? 0 : static_cast<std::size_t>(m_Socket.bytesAvailable());
   const std::size_t Input = m_Input.capacity() > MaxIdleCapacity
                                 ? m_Input.capacity()
                                 : m_Input.size();
@@ -358,11 +358,14 @@
   return m_Lingering ? ConnectionPhase::Closing : ConnectionPhase::Idle;
 }
 
+ConnectionUse HttpConnection::currentUse() const {
+  return {.m_Phase = phase(), .m_Bytes = requestBytes() + answerBytes()};
+}
+
 void HttpConnection::updateUse() {
   if (m_Closed)
     return;
-  const ConnectionUse Use{.m_Phase = phase(),
-                          .m_Bytes = requestBytes() + answerBytes()};
+  const ConnectionUse Use = currentUse();
   if (m_Use && Use.m_Phase == m_Use->m_Phase && Use.m_Bytes == m_Use->m_Bytes &&
       !m_HasProgressed)
     return;
@@ -387,16 +390,19 @@
 }
 
 void HttpConnection::releaseMemory() {
-  m_Use.reset(); // The budget may count other bytes.
-  if (m_RequestStarted && requestBytes() > answerBytes()) {
+  const std::size_t AnswerBytes = answerBytes();
+  if (AnswerBytes > 0 && AnswerBytes >= requestBytes()) {
+    onDisconnected();
+  } else if (requestBytes() > 0) {
+    // The input may also belong to requests that wait for the answers to
+    // earlier ones.
     refuseRequest(StatusOverloaded);
     writeAnswers();
-  } else if (answerBytes() > 0) {
-    onDisconnected();
-  } else {
-    closeIfIdle();
   }
-  updateUse();
+  if (m_Closed)
+    return;
+  m_Use = currentUse();
+  m_State->m_Connections->record(m_Id, *m_Use);
 }
 
 EvictionResult HttpConnection::closeUnlessInUse() {
--- a/src/transport/HttpConnection.h
+++ b/src/transport/HttpConnection.h
@@ -64,6 +64,7 @@
   void refuseRequest(unsigned Status, std::string_view Target);
   HttpResponse refusal(unsigned Status, std::string_view Target) const;
   void updateUse();
+  ConnectionUse currentUse() const;
   ConnectionPhase phase() const;
   bool hasPendingRequest() const;
   std::size_t answerBytes() const;
--- a/test/correctness/ConnectionBudgetTest.cpp
+++ b/test/correctness/ConnectionBudgetTest.cpp
@@ -110,6 +110,15 @@
       m_Budget.chargeRequest("a", Thread, 0, 100000, m_Now).m_IsAccepted);
 }
 
+BOOST_AUTO_TEST_CASE(Bytes_ofSmallHolders_areNotReleasedForLargeRequests) {
+  const Id Small = open("a");
+  hold(Small, 4000);
+  const auto Verdict =
+      m_Budget.chargeRequest("b", Thread, 0, 2 * MaxBytes, m_Now);
+  BOOST_TEST(Verdict.m_IsAccepted);
+  BOOST_TEST(Verdict.m_Evicted.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Connection_atTheLimit_replacesIdleOnesFirst) {
   Ids All;
   for (int I = 0; I < 8; ++I)
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -1,9 +1,11 @@
+#include "support/Crowd.h"
 #include "support/HttpServerFixture.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <future>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -370,6 +372,69 @@
   BOOST_TEST(Clients.front()->receive().value().m_Body == "ok");
 }
 
+// Many callers at the limits of connections and bytes, with steps in random
+// order on two workers.
+BOOST_AUTO_TEST_CASE(Callers_withRandomSteps_leaveNothingHeld) {
+  constexpr int CallerCount = 12;
+  constexpr int StepCount = 150;
+  const auto Connections = std::make_shared<CallerConnections>(
+      ConnectionBudgetOptions{.m_MaxBytes = 300000, .m_MaxConnections = 8});
+  HttpServer Server(
+      {.m_BodyLimit = 100000,
+       .m_Connections = Connections,
+       .m_RequestTimeout = milliseconds(200),
+       .m_IdleTimeout = milliseconds(200)},
+      workers(), [](const HttpExchangePtr &Each) {
+        const std::size_t Size = Each->request().m_Body.size();
+        if (Size % 2 == 0)
+          Each->respond({.m_Body = std::string(4 * Size, 'x')});
+        else if (Each->reserveMemory(Size))
+          std::thread([Each] { Each->respond({.m_Body = "later"}); }).detach();
+        else
+          Each->respond({.m_Status = 503});
+      });
+  BOOST_REQUIRE(!Server.listen());
+  std::vector<std::thread> Callers;
+  for (unsigned Seed = 1; Seed <= CallerCount; ++Seed)
+    Callers.emplace_back([&Server, Seed] {
+      std::minstd_rand Random(Seed);
+      auto Client = std::make_unique<RawClient>(Server.port());
+      for (int Step = 0; Step < StepCount; ++Step) {
+        const std::string Body(Random() % 100000, 'x');
+        const std::string Post = serializePost("/", Body);
+        switch (Random() % 6) {
+        case 0:
+          Client->send(Post.substr(0, Random() % Post.size()));
+          break;
+        case 1:
+          Client->send(Post + Post);
+          break;
+        case 2:
+          Client->send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       chunked(Body.substr(0, 2000), 1));
+          break;
+        case 3:
+          if (Client->send(Post))
+            Client->receive();
+          break;
+        case 4:
+          Client->send("\r\n");
+          break;
+        default:
+          Client = std::make_unique<RawClient>(Server.port());
+        }
+      }
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  waitUntil([&] {
+    return Server.connections() == 0 && Connections->heldBytes() == 0;
+  });
+  RawClient Ordinary(Server.port());
+  Ordinary.send(serializePost("/", "ab"));
+  BOOST_TEST(Ordinary.receive().value().m_Body == "xxxxxxxx");
+}
+
 BOOST_AUTO_TEST_CASE(Connection_idle_isClosedCleanly) {
   start({.m_IdleTimeout = milliseconds(20)});
   RawClient Client(port());
