--- a/test/support/Crowd.h
+++ b/test/support/Crowd.h
@@ -127,6 +127,7 @@
         std::chrono::steady_clock::now() + std::chrono::minutes(1);
     while (!Waiting.empty() && std::chrono::steady_clock::now() < GiveUpAt) {
       std::vector<pollfd> Polled;
+      Polled.reserve(Waiting.size());
       for (const Member *Each : Waiting)
         Polled.push_back({.fd = Each->m_Socket, .events = Events});
       ::poll(Polled.data(), Polled.size(), 1000);
