Run no handler within the destructor of a connection pool

Cause: ~TargetPool delivered the queued results itself. TargetConnectionPools::removeDrainedPools() destroyed pools within std::erase_if over their list; a result that was delivered there led to a retry, whose send() called removeDrainedPools() again on the list being changed. The same destructor ran handlers of PeerFetcher within a handler of the pool that was replaced, and of TargetRunner in the destruction of its members.

Change: the destructor ends the calls and leaves their results to the event loop; the implementation is deleted after them. Owners that may end earlier ignore late results. TargetConnectionPools keeps the handlers of its calls, so that these and the requests they own are released with it. No caller of a pool can be re-entered now, whatever it walks; so this covers the class and not only the list of pools.

The event loop of the pool tests now delivers posted events before deletions, as a real one does.

--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -1,5 +1,6 @@
 #include "node/TargetConnectionPools.h"
 
+#include "state/Assert.h"
 #include "state/Errc.h"
 
 #include <algorithm>
@@ -109,7 +110,10 @@
   removeDrainedPools();
   const CallId Id = m_CallIds.reserve(1);
   Destination->m_Load.begin(Id.value(), Call.m_OverdueAt);
-  const Duration TypicalLatency = Call.m_TypicalLatency;
+  m_SentCalls.emplace(Id, SentCall{.m_Destination = Destination,
+                                   .m_TypicalLatency = Call.m_TypicalLatency,
+                                   .m_Classify = std::move(Classify),
+                                   .m_OnResult = std::move(OnResult)});
   findOrCreatePool(Destination)
       .send({.m_Call = Id,
              .m_Deadline = Call.m_Deadline + ReplyAllowance,
@@ -117,32 +121,38 @@
              .m_SerializeRequest = std::move(Call.m_SerializeRequest),
              .m_RequestId = std::move(Call.m_RequestId),
              .m_IsHead = Call.m_IsHead},
-            [this, IsAlive = m_IsAlive, Destination, Id, TypicalLatency,
-             Classify = std::move(Classify),
-             OnResult = std::move(OnResult)](TargetResult Result) {
-              if (!*IsAlive)
-                return;
-              const CallOutcome Outcome =
-                  Result.m_Error ? toCallOutcome(Result)
-                                 : Classify(Result.m_Status, Result.m_Headers);
-              const TimePoint Now = Clock::now();
-              Destination->m_Load.end(
-                  Id.value(), Outcome,
-                  latencyRatio(Result.m_Latency, TypicalLatency), Now);
-              // A misdirected call was answered by another target.
-              if (!Result.m_Error && Outcome != CallOutcome::Misdirected)
-                m_OnReply(*Destination, Result.m_Status, Result.m_Headers,
-                          Now - Result.m_Latency, Now);
-              OnResult({.m_Outcome = Outcome,
-                        .m_Error = Result.m_Error,
-                        .m_Status = Result.m_Status,
-                        .m_Headers = std::move(Result.m_Headers),
-                        .m_Body = std::move(Result.m_Body),
-                        .m_Latency = Result.m_Latency});
+            [this, Alive = std::weak_ptr<void>(m_Alive)](TargetResult Result) {
+              if (!Alive.expired())
+                onResult(std::move(Result));
             });
   return Id;
 }
 
+void TargetConnectionPools::onResult(TargetResult Result) {
+  // The handler may send further calls, so its record is moved out first.
+  auto Node = m_SentCalls.extract(Result.m_Call);
+  if (!FIGTURN_INVARIANT(!Node.empty()))
+    return;
+  SentCall &Ended = Node.mapped();
+  const CallOutcome Outcome =
+      Result.m_Error ? toCallOutcome(Result)
+                     : Ended.m_Classify(Result.m_Status, Result.m_Headers);
+  const TimePoint Now = Clock::now();
+  Ended.m_Destination->m_Load.end(
+      Result.m_Call.value(), Outcome,
+      latencyRatio(Result.m_Latency, Ended.m_TypicalLatency), Now);
+  // A misdirected call was answered by another target.
+  if (!Result.m_Error && Outcome != CallOutcome::Misdirected)
+    m_OnReply(*Ended.m_Destination, Result.m_Status, Result.m_Headers,
+              Now - Result.m_Latency, Now);
+  Ended.m_OnResult({.m_Outcome = Outcome,
+                    .m_Error = Result.m_Error,
+                    .m_Status = Result.m_Status,
+                    .m_Headers = std::move(Result.m_Headers),
+                    .m_Body = std::move(Result.m_Body),
+                    .m_Latency = Result.m_Latency});
+}
+
 void TargetConnectionPools::cancel(const TargetPtr &Destination, CallId Call) {
   const auto Found = m_Pools.find(Destination->m_Entry.m_Instance);
   if (Found != m_Pools.end())
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -19,6 +19,9 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace figturn {
 
@@ -69,8 +72,8 @@
         m_OnReply(std::move(OnReply)) {}
 
   /** Outstanding calls get no result, because their owners are being destroyed
-   *  too. */
-  ~TargetConnectionPools() { *m_IsAlive = false; }
+   *  too; their handlers are destroyed with this object. */
+  ~TargetConnectionPools() = default;
   TargetConnectionPools(const TargetConnectionPools &) = delete;
   TargetConnectionPools &operator=(const TargetConnectionPools &) = delete;
 
@@ -102,15 +105,26 @@
   std::uint64_t connectionsOpened() const;
 
 private:
+  /** A call without a result. */
+  struct SentCall {
+    TargetPtr m_Destination;
+    Duration m_TypicalLatency{};
+    Classifier m_Classify;
+    ResultHandler m_OnResult;
+  };
+
+  void onResult(TargetResult Result);
   TargetPool &findOrCreatePool(const TargetPtr &Destination);
   void removeDrainedPools();
 
-  std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
+  /** Expires with this object; a pool may deliver results after that. */
+  std::shared_ptr<void> m_Alive = std::make_shared<char>();
   std::string m_RequestIdHeader;
   ObservationHandler m_OnObservation;
   ReplyHandler m_OnReply;
   std::shared_ptr<ReplyMemory> m_ReplyMemory = std::make_shared<ReplyMemory>();
   CallIdAllocator m_CallIds{CallId(1)};
+  std::unordered_map<CallId, SentCall> m_SentCalls;
   std::map<TargetInstance, std::unique_ptr<TargetPool>> m_Pools;
   std::map<TargetInstance, ServiceName> m_Services;
   /** Pools of removed targets that still have outstanding calls. */
--- a/src/node/TargetRunner.cpp
+++ b/src/node/TargetRunner.cpp
@@ -3,6 +3,7 @@
 #include "protocol/TargetProtocol.h"
 #include "state/Event.h"
 
+#include <QPointer>
 #include <algorithm>
 #include <utility>
 
@@ -173,7 +174,10 @@
        .m_CancelBody = encodeCall(
            CancelRequest{.m_Origin = Sent.m_Request.m_Origin, .m_Call = Call}),
        .m_RequiredBootId = Grant.m_Boot},
-      [this](TargetResult Result) { onResult(std::move(Result)); });
+      [Self = QPointer(this)](TargetResult Result) {
+        if (Self)
+          Self->onResult(std::move(Result));
+      });
 }
 
 void TargetRunner::forward(CallId Call, const VmName &Owner) {
--- a/src/transport/PeerFetcher.cpp
+++ b/src/transport/PeerFetcher.cpp
@@ -1,7 +1,6 @@
 #include "transport/PeerFetcher.h"
 
 #include "protocol/SettingsCodec.h"
-#include "state/Errc.h"
 #include "transport/HttpCodec.h"
 
 #include <utility>
@@ -35,21 +34,21 @@
                           .m_IdleTimeout = IdleTimeout,
                           .m_UsesFigturnProtocol = false},
         [](const TargetObservation &) {});
-  m_Pool->send(
-      {.m_Call = CallId(m_NextCall++),
-       .m_Deadline = Clock::now() + Timeout,
-       .m_SingleRun = true,
-       .m_SerializeRequest =
-           [Bytes = serializeRequest("GET", RequestTarget, Address, {})](
-               TimePoint) { return Bytes; }},
-      [this, OnResult = std::move(OnResult)](const TargetResult &Result) {
-        if (Result.m_Error == Errc::Cancelled)
-          return; // The fetcher is being destroyed.
-        m_IsBusy = false;
-        OnResult({.m_Error = Result.m_Error,
-                  .m_Status = Result.m_Status,
-                  .m_Body = Result.m_Body});
-      });
+  m_Pool->send({.m_Call = CallId(m_NextCall++),
+                .m_Deadline = Clock::now() + Timeout,
+                .m_SingleRun = true,
+                .m_SerializeRequest = [Bytes = serializeRequest(
+                                           "GET", RequestTarget, Address, {})](
+                                          TimePoint) { return Bytes; }},
+               [this, Alive = std::weak_ptr<void>(m_Alive),
+                OnResult = std::move(OnResult)](const TargetResult &Result) {
+                 if (Alive.expired())
+                   return;
+                 m_IsBusy = false;
+                 OnResult({.m_Error = Result.m_Error,
+                           .m_Status = Result.m_Status,
+                           .m_Body = Result.m_Body});
+               });
   return true;
 }
 
--- a/src/transport/PeerFetcher.h
+++ b/src/transport/PeerFetcher.h
@@ -39,6 +39,8 @@
   std::unique_ptr<TargetPool> m_Pool; ///< Connects to m_Address.
   std::uint64_t m_NextCall = 1;
   bool m_IsBusy = false;
+  /** Expires with this object; the pool may deliver a result after that. */
+  std::shared_ptr<void> m_Alive = std::make_shared<char>();
 };
 
 } // namespace figturn
--- a/src/transport/TargetPool.cpp
+++ b/src/transport/TargetPool.cpp
@@ -11,7 +11,10 @@
     : m_Impl(std::make_unique<Impl>(std::move(Options),
                                     std::move(OnObservation))) {}
 
-TargetPool::~TargetPool() = default;
+TargetPool::~TargetPool() {
+  m_Impl->shutDown();
+  m_Impl.release()->deleteLater();
+}
 
 void TargetPool::send(TargetCall Call, ResultHandler OnResult) {
   m_Impl->send(std::move(Call), std::move(OnResult));
--- a/src/transport/TargetPool.h
+++ b/src/transport/TargetPool.h
@@ -138,16 +138,22 @@
   std::uint64_t m_LateReplies = 0; ///< Replies to calls that had ended.
 };
 
-/** The pool. Runs on one worker; all functions are called on its thread. */
+/** The pool. Runs on one worker; all functions are called on its thread.
+ *
+ *  Handlers run only from the event loop, never within a function of the pool
+ *  or its destructor, so that they may call each of these, also while their
+ *  caller walks the object that owns the pool. */
 class TargetPool {
 public:
   using ResultHandler = std::function<void(TargetResult)>;
   using ObservationHandler = std::function<void(const TargetObservation &)>;
 
   TargetPool(TargetPoolOptions Options, ObservationHandler OnObservation);
-  /** Ends all remaining calls with Cancelled; their handlers must not use the
-   *  pool. */
+  /** Ends all remaining calls with Cancelled. Their handlers run later, after
+   *  the pool is gone. */
   ~TargetPool();
+  TargetPool(const TargetPool &) = delete;
+  TargetPool &operator=(const TargetPool &) = delete;
 
   /** Writes \p Call on an idle or new connection; if all are busy, waits for
    *  one until the deadline. \p OnResult runs exactly once, asynchronously. */
--- a/src/transport/TargetPoolImpl.cpp
+++ b/src/transport/TargetPoolImpl.cpp
@@ -4,8 +4,6 @@
 #include "state/Errc.h"
 #include "state/Event.h"
 
-#include <QPointer>
-
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -68,16 +66,18 @@
           [this] { handleEvent([this] { onTimer(); }); });
 }
 
-TargetPool::Impl::~Impl() {
-  m_Destroying = true;
+void TargetPool::Impl::shutDown() {
+  m_IsShutDown = true;
+  m_Timer.stop();
   while (!m_Calls.empty()) {
     const auto &[Id, Record] = *m_Calls.begin();
     failCall(Id, Errc::Cancelled,
              Record.m_AssignedConnection ? RunVerdict::MayHaveRun
                                          : RunVerdict::NotRun);
   }
+  m_WaitingCalls.clear();
+  m_PendingCancellations.clear();
   m_Connections.clear();
-  deliverReports();
 }
 
 void TargetPool::Impl::send(TargetCall Call, ResultHandler OnResult) {
@@ -350,11 +350,10 @@
 }
 
 void TargetPool::Impl::reportObservation(TargetObservation Observation) {
-  queueReport(
-      [Self = QPointer<Impl>(this), Observation = std::move(Observation)] {
-        if (Self && !Self->m_Destroying)
-          Self->m_OnObservation(Observation);
-      });
+  queueReport([this, Observation = std::move(Observation)] {
+    if (!m_IsShutDown)
+      m_OnObservation(Observation);
+  });
 }
 
 void TargetPool::Impl::handleEvent(const std::function<void()> &Handle) {
--- a/src/transport/TargetPoolImpl.h
+++ b/src/transport/TargetPoolImpl.h
@@ -74,8 +74,10 @@
   };
 
   Impl(TargetPoolOptions Options, ObservationHandler OnObservation);
-  ~Impl() override;
 
+  /** Closes all connections and ends all calls with Cancelled; the event loop
+   *  delivers the results. Observations end. */
+  void shutDown();
   void send(TargetCall Call, ResultHandler OnResult);
   void cancel(CallId Id);
   void failWaitingCalls(std::error_code Error);
@@ -154,7 +156,7 @@
   TimePoint m_LastWorkingOpenedAt;
   bool m_ProbeInProgress = false;      ///< The next handshake ends a probe.
   std::size_t m_UnreportedRetired = 0; ///< Retired, not yet reported.
-  bool m_Destroying = false;
+  bool m_IsShutDown = false;
   bool m_HandlingEvent = false; ///< Within handleEvent().
 };
 
--- a/test/correctness/TargetPoolTest.cpp
+++ b/test/correctness/TargetPoolTest.cpp
@@ -318,6 +318,32 @@
   BOOST_TEST(observationCount(Kind::AllLost) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(Pool_destroyed_runsNoHandlerWithinItsDestructor) {
+  start({.m_MaxConnections = 1});
+  send(call(1));
+  send(call(2));
+  m_Target.nextRequest();
+  send(call(3));
+  m_Pool->failUnsentCalls();
+  m_Pool.reset();
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    BOOST_TEST(!hasResult(Id));
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    waitForResult(Id);
+}
+
+BOOST_AUTO_TEST_CASE(Handler_thatDestroysThePool_leavesOtherResults) {
+  start({.m_MaxConnections = 1});
+  int Results = 0;
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    m_Pool->send(call(Id), [&](const TargetResult &) {
+      ++Results;
+      m_Pool.reset();
+    });
+  m_Target.nextRequest().m_Connection->reply("ok");
+  processEventsUntil([&] { return Results == 3; });
+}
+
 BOOST_AUTO_TEST_CASE(Pool_destroyed_deliversAResultForEachCall) {
   start({.m_MaxConnections = 1});
   send(call(1));
--- a/test/support/FakeTarget.h
+++ b/test/support/FakeTarget.h
@@ -35,6 +35,8 @@
     if (std::chrono::steady_clock::now() > Deadline)
       throw std::runtime_error("timeout: the condition did not become true");
     QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    // As in an event loop, deletions follow the events posted before them.
+    QCoreApplication::sendPostedEvents();
     QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
   }
 }
