Drop the reply to a forwarded call after its runner's end

The reply to a call that was forwarded to another VM arrives on the network's thread and is posted to the worker with a plain pointer to the runner. A runner that was removed from the configuration is deleted once its last call has ended, and a cancelled call ends at once, so a reply that crosses the cancellation would use a deleted runner. The callback holds a QPointer and its own copy of the function that posts.

--- a/src/node/TargetRunner.cpp
+++ b/src/node/TargetRunner.cpp
@@ -195,9 +195,12 @@
       std::chrono::duration_cast<milliseconds>(Request.m_Deadline - Now);
   logEvent(Event::CallForwarded, "call={} target={} owner={}", Call, m_Target,
            Owner);
-  auto OnReply = [this, Call](std::error_code Error, PeerCallResult Result) {
-    m_Context.m_Post([this, Call, Error, Result = std::move(Result)] {
-      onForwarded(Call, Error, Result);
+  // Runs on the network's thread, possibly after the runner's end.
+  auto OnReply = [Self = QPointer(this), Post = m_Context.m_Post,
+                  Call](std::error_code Error, PeerCallResult Result) {
+    Post([Self, Call, Error, Result = std::move(Result)] {
+      if (Self)
+        Self->onForwarded(Call, Error, Result);
     });
   };
   Forwarded.m_PeerCall = m_Context.m_Peers.runCall(
