Bound the use of a removed target by its drain time, however it is learned

Cause, from the case's record: the entry is removed 0.5 s after the VM's start, and requests reach its target from 3,555 to 3,745 ms after that. The VM listed the registry at its start and sends no watch for two seconds, learns of the removal by the first watch, retains the target for 2.4 s from then and drops it at a tick of 0.2 s. Each delay was chosen to fit alone; the retention counted from when the VM learned that an entry is missing, whatever time had passed before.

TargetRegistry::retentionEnd() is the one bound: 2.4 s from learning, and no later than the drain time from then, less 0.2 s for requests in transit. Copies between VMs carry that time for each removal. A target past its retention isn't chosen, a timer drops it when due, and calls to it that wait for a connection end as not sent.

Protection stays: an entry that is back within two seconds of the store's return is never dropped (Entry_expiredInAnOutage_isKeptForTwoSeconds, Entry_missingForTwoSeconds_isKept, Entry_reappearingAfterAnOutage_keepsItsLoadState).

--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -17,8 +17,8 @@
 bool TargetChooser::isUsable(const ChoiceQuery &Query,
                              const TargetPtr &Candidate, TimePoint Now) {
   const TargetLoad &Load = Candidate->m_Load;
-  if (Candidate->m_Entry.m_Draining || Candidate->m_Signals.isLeaving() ||
-      Load.isMisdirected() ||
+  if (Candidate->m_Entry.m_Draining || Candidate->isGone(Now) ||
+      Candidate->m_Signals.isLeaving() || Load.isMisdirected() ||
       !Query.m_IsDataCentreAllowed(Candidate->m_Entry.m_DataCentre))
     return false;
   if (std::find(Query.m_TriedTargets.begin(), Query.m_TriedTargets.end(),
@@ -63,7 +63,7 @@
     Cost += m_Costs.m_Overdue;
   if (Candidate.isCold(Now))
     Cost += m_Costs.m_Cold;
-  if (Candidate.m_MissingSince)
+  if (Candidate.m_RetainedUntil)
     Cost += m_Costs.m_Missing;
   if (Query.m_SingleRun && Load.isUnreachable())
     Cost += m_Costs.m_SingleRunProbe;
--- a/src/coordination/TargetRegistry.cpp
+++ b/src/coordination/TargetRegistry.cpp
@@ -6,7 +6,7 @@
 namespace figturn {
 
 RegistryChange TargetRegistry::replaceAll(std::vector<TargetEntry> Entries,
-                                          TimePoint Now) {
+                                          TimePoint PresentAt, TimePoint Now) {
   RegistryChange Change;
   std::set<TargetName> Listed;
   for (TargetEntry &Entry : Entries) {
@@ -18,7 +18,7 @@
     if (!Listed.contains(Name))
       Missing.push_back(Known);
   for (const TargetPtr &MissingTarget : Missing)
-    markMissing(MissingTarget, Now, Change);
+    markMissing(MissingTarget, PresentAt, Now, Change);
   return Change;
 }
 
@@ -28,18 +28,18 @@
   return Change;
 }
 
-RegistryChange TargetRegistry::remove(const TargetName &Name, TimePoint Now) {
+RegistryChange TargetRegistry::remove(const TargetName &Name,
+                                      TimePoint PresentAt, TimePoint Now) {
   RegistryChange Change;
   if (const auto Found = m_ByName.find(Name); Found != m_ByName.end())
-    markMissing(TargetPtr(Found->second), Now, Change);
+    markMissing(TargetPtr(Found->second), PresentAt, Now, Change);
   return Change;
 }
 
 RegistryChange TargetRegistry::expire(TimePoint Now) {
   RegistryChange Change;
   for (const auto &[Name, Known] : m_ByName)
-    if (Known->m_MissingSince &&
-        Now - *Known->m_MissingSince >= m_Options.m_MissingRetention)
+    if (Known->isGone(Now))
       Change.m_RemovedTargets.push_back(Known);
   for (const TargetPtr &Removed : Change.m_RemovedTargets)
     drop(Removed);
@@ -49,9 +49,8 @@
 std::optional<TimePoint> TargetRegistry::nextExpiry() const {
   std::optional<TimePoint> Next;
   for (const auto &[Name, Known] : m_ByName)
-    if (Known->m_MissingSince)
-      Next = std::min(Next.value_or(TimePoint::max()),
-                      *Known->m_MissingSince + m_Options.m_MissingRetention);
+    if (Known->m_RetainedUntil)
+      Next = std::min(Next.value_or(TimePoint::max()), *Known->m_RetainedUntil);
   return Next;
 }
 
@@ -79,9 +78,9 @@
         Entry.m_Instance == Old.m_Instance && Entry.m_Host == Old.m_Host &&
         Entry.m_Port == Old.m_Port && Entry.m_Service == Old.m_Service;
     if (IsSameProcess) {
-      const bool IsChanged = !(Entry == Old) || Known->m_MissingSince;
+      const bool IsChanged = !(Entry == Old) || Known->m_RetainedUntil;
       Known->m_Entry = std::move(Entry);
-      Known->m_MissingSince.reset();
+      Known->m_RetainedUntil.reset();
       Change.m_Updated += IsChanged ? 1 : 0;
       return;
     }
@@ -95,17 +94,23 @@
   ++Change.m_Added;
 }
 
-void TargetRegistry::markMissing(const TargetPtr &Missing, TimePoint Now,
-                                 RegistryChange &Change) {
-  if (Missing->m_Entry.m_Draining) {
+void TargetRegistry::markMissing(const TargetPtr &Missing, TimePoint PresentAt,
+                                 TimePoint Now, RegistryChange &Change) {
+  const bool IsNew = !Missing->m_RetainedUntil;
+  if (IsNew)
+    Missing->m_RetainedUntil = retentionEnd(PresentAt, Now);
+  if (Missing->m_Entry.m_Draining || Missing->isGone(Now)) {
     drop(Missing);
     Change.m_RemovedTargets.push_back(Missing);
-    return;
+  } else if (IsNew) {
+    Change.m_Missing.push_back(Missing);
   }
-  if (Missing->m_MissingSince)
-    return;
-  Missing->m_MissingSince = Now;
-  Change.m_Missing.push_back(Missing);
+}
+
+TimePoint TargetRegistry::retentionEnd(TimePoint PresentAt,
+                                       TimePoint Now) const {
+  return std::min(Now + m_Options.m_MissingRetention,
+                  PresentAt + m_Options.m_DrainTime - m_Options.m_TransitTime);
 }
 
 void TargetRegistry::drop(TargetPtr Old) {
--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -6,8 +6,8 @@
  * platform's registry and handles missing entries: entries expire while the
  * registry is unavailable and reappear shortly after it recovers. A target
  * whose entry disappears without having been marked as draining is therefore
- * retained, at the lowest preference, for much less time than a leaving target
- * continues to serve.
+ * retained at the lowest preference, but never for longer than a leaving target
+ * continues to serve, whenever this VM learns that the entry is missing.
  */
 
 #include "coordination/TargetLoad.h"
@@ -30,9 +30,14 @@
   TargetLoad m_Load;
   TargetRateLimit m_RateLimit;
   TargetSignals m_Signals;
-  /** When its entry disappeared; none while the registry lists it. */
-  std::optional<TimePoint> m_MissingSince;
+  /** Until when it may be used though its entry has disappeared; none while the
+   *  registry lists it. */
+  std::optional<TimePoint> m_RetainedUntil;
 
+  /** Whether it must no longer be used. */
+  bool isGone(TimePoint Now) const {
+    return m_RetainedUntil && *m_RetainedUntil <= Now;
+  }
   bool isCold(TimePoint Now) const { return Now < m_Entry.m_ColdUntil; }
 };
 
@@ -40,8 +45,13 @@
 
 /** Configuration of TargetRegistry. */
 struct TargetRegistryOptions {
-  /** How long a target is retained whose entry disappeared without draining. */
+  /** How long a target is retained once its entry is known to have disappeared
+   *  without draining. */
   Duration m_MissingRetention = milliseconds(2400);
+  /** How long a target serves after its entry was removed. */
+  Duration m_DrainTime = milliseconds(3000);
+  /** Part of the drain time that is left for requests in transit. */
+  Duration m_TransitTime = milliseconds(200);
 };
 
 /** The changes made by an update. */
@@ -60,12 +70,18 @@
 public:
   explicit TargetRegistry(TargetRegistryOptions Options) : m_Options(Options) {}
 
-  /** Applies a complete listing; entries not in it have disappeared. */
-  RegistryChange replaceAll(std::vector<TargetEntry> Entries, TimePoint Now);
+  void setDrainTime(Duration DrainTime) { m_Options.m_DrainTime = DrainTime; }
+
+  /** Applies a complete listing; entries not in it have disappeared after
+   *  \p PresentAt. */
+  RegistryChange replaceAll(std::vector<TargetEntry> Entries,
+                            TimePoint PresentAt, TimePoint Now);
   /** Adds or updates an entry. */
   RegistryChange upsert(TargetEntry Entry, TimePoint Now);
-  /** Handles an entry that was removed or has become unreadable. */
-  RegistryChange remove(const TargetName &Name, TimePoint Now);
+  /** Handles an entry that was removed or has become unreadable after
+   *  \p PresentAt. */
+  RegistryChange remove(const TargetName &Name, TimePoint PresentAt,
+                        TimePoint Now);
   /** Drops missing targets whose retention has expired. */
   RegistryChange expire(TimePoint Now);
   /** When expire() is due next. */
@@ -84,8 +100,11 @@
 
 private:
   void put(TargetEntry Entry, RegistryChange &Change);
-  void markMissing(const TargetPtr &Missing, TimePoint Now,
+  void markMissing(const TargetPtr &Missing, TimePoint PresentAt, TimePoint Now,
                    RegistryChange &Change);
+  /** Until when a target may be used whose entry disappeared after
+   *  \p PresentAt. */
+  TimePoint retentionEnd(TimePoint PresentAt, TimePoint Now) const;
   /** Takes its argument by value, as it may be an element of these tables. */
   void drop(TargetPtr Old);
 
--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -11,9 +11,12 @@
 #include "state/RoutingConfig.h"
 #include "state/StateVersion.h"
 #include "state/TargetEntry.h"
+#include "state/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,12 +29,15 @@
   virtual ~PlatformListener() = default;
   /** A configuration newer than all previous ones. */
   virtual void onConfig(RoutingConfigPtr Config) = 0;
-  /** A complete listing of the registry. */
-  virtual void onTargets(std::vector<TargetEntry> Entries) = 0;
+  /** A complete listing of the registry. Entries that are not in it were
+   *  present, or the registry was unavailable, at \p PresentAt. */
+  virtual void onTargets(std::vector<TargetEntry> Entries,
+                         TimePoint PresentAt) = 0;
   /** A new or changed registry entry. */
   virtual void onTarget(TargetEntry Entry) = 0;
-  /** A registry entry that was removed or is no longer usable. */
-  virtual void onTargetRemoved(const TargetName &Name) = 0;
+  /** A registry entry that was removed or is no longer usable. It was present,
+   *  or the registry was unavailable, at \p PresentAt. */
+  virtual void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) = 0;
   /** The data centres that receive no new work. */
   virtual void onEvacuations(std::set<DataCentreName> Evacuated) = 0;
   /** Gossip addresses of the registered VMs. */
@@ -46,6 +52,20 @@
   std::uint64_t m_Failures = 0;
 };
 
+/** Relates the times in another VM's copy of the state to this VM's clock. */
+struct CopyTimes {
+  TimePoint m_RequestedAt; ///< When this VM requested the copy.
+  /** The other VM's clock when it sent the copy; none if it doesn't tell. */
+  std::optional<TimePoint> m_SentAt;
+
+  /** A time of this VM's clock that is not later than \p Other of the other
+   *  VM's clock. */
+  TimePoint toOwnClock(TimePoint Other) const {
+    return m_SentAt ? m_RequestedAt + std::min(Other - *m_SentAt, Duration(0))
+                    : m_RequestedAt;
+  }
+};
+
 /** Connection to a platform. Confined to the VM's worker. */
 class PlatformAdapter {
 public:
@@ -73,7 +93,11 @@
   virtual std::string exportState(const std::string &Query) const = 0;
   /** Applies the parts of another VM's \p State that are newer than this
    *  VM's. */
-  virtual void importState(const std::string &State) = 0;
+  virtual void importState(const std::string &State,
+                           const CopyTimes &Times) = 0;
+  /** Called periodically. \p FleetAgrees tells that other VMs are heard, and
+   *  none has a newer registry than this VM. */
+  virtual void onTick(bool FleetAgrees, TimePoint Now) = 0;
   virtual const PlatformCounters &counters() const = 0;
 };
 
--- a/src/node/RequestAdmission.cpp
+++ b/src/node/RequestAdmission.cpp
@@ -62,7 +62,7 @@
   const auto CountSlots = [&](const ServiceName &Service) {
     std::size_t Total = 0;
     for (const TargetPtr &Each : Registry.targets(Service))
-      Total += Each->m_MissingSince ? 0 : Each->m_Entry.m_Slots;
+      Total += Each->m_RetainedUntil ? 0 : Each->m_Entry.m_Slots;
     return Total;
   };
   const auto Domains = m_Domains;
--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -29,6 +29,7 @@
                              RoutedHeaders Headers, FleetView &Fleet,
                              std::uint32_t Seed)
     : m_Settings(Settings), m_Headers(std::move(Headers)), m_Fleet(Fleet),
+      m_Registry({.m_DrainTime = targetDrainTime(Settings)}),
       m_CrashQuarantine({.m_Self = Settings.m_Vm}),
       m_ConnectionPools(
           m_Headers.m_RequestId,
@@ -231,6 +232,7 @@
 
 void RoutedContext::setSettings(const RoutedSettings &Settings, TimePoint Now) {
   m_Settings = Settings;
+  m_Registry.setDrainTime(targetDrainTime(Settings));
   for (auto &[Service, Budget] : m_Budgets)
     Budget.setShare(ShareableExtraCallFraction * m_Settings.m_RetryRatio);
   updateShares(Now);
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -115,7 +115,7 @@
   StopDeadline m_StopDeadline;
   /** Declared before the members that own runners. */
   std::set<RoutedRequestRunner *> m_Runners;
-  TargetRegistry m_Registry{TargetRegistryOptions{}};
+  TargetRegistry m_Registry;
   CrashQuarantine m_CrashQuarantine;
   TargetConnectionPools m_ConnectionPools;
   TimerQueue m_Timers;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -103,6 +103,10 @@
       m_Drain(drainOptions(Settings)) {
   QObject::connect(&m_TickTimer, &QTimer::timeout, &m_TickTimer,
                    [this] { onTick(); });
+  m_ExpiryTimer.setSingleShot(true);
+  m_ExpiryTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&m_ExpiryTimer, &QTimer::timeout, &m_ExpiryTimer,
+                   [this] { expireTargets(); });
 }
 
 RoutedNode::~RoutedNode() { m_Platform.m_Adapter->stop(); }
@@ -193,11 +197,13 @@
   onFleetChange();
 }
 
-void RoutedNode::onTargets(std::vector<TargetEntry> Entries) {
+void RoutedNode::onTargets(std::vector<TargetEntry> Entries,
+                           TimePoint PresentAt) {
   m_HasTargets = true;
-  handleRegistryChange(
-      m_Context.registry().replaceAll(std::move(Entries), Clock::now()),
-      "listing");
+  handleRegistryChange(m_Context.registry().replaceAll(std::move(Entries),
+                                                       PresentAt, Clock::now()),
+                       "listing");
+  expireTargets();
   onFleetChange();
 }
 
@@ -212,9 +218,19 @@
   handleRegistryChange(Change, "changed");
 }
 
-void RoutedNode::onTargetRemoved(const TargetName &Name) {
-  handleRegistryChange(m_Context.registry().remove(Name, Clock::now()),
-                       "removed");
+void RoutedNode::onTargetRemoved(const TargetName &Name, TimePoint PresentAt) {
+  handleRegistryChange(
+      m_Context.registry().remove(Name, PresentAt, Clock::now()), "removed");
+  expireTargets();
+}
+
+void RoutedNode::expireTargets() {
+  const TimePoint Now = Clock::now();
+  handleRegistryChange(m_Context.registry().expire(Now), "hold-ended");
+  if (const auto Next = m_Context.registry().nextExpiry())
+    m_ExpiryTimer.start(std::chrono::ceil<milliseconds>(*Next - Now));
+  else
+    m_ExpiryTimer.stop();
 }
 
 void RoutedNode::handleRegistryChange(const RegistryChange &Change,
@@ -296,7 +312,11 @@
              std::chrono::duration_cast<milliseconds>(Lag).count());
   logSink().flush();
   onFleetChange();
-  handleRegistryChange(m_Context.registry().expire(Now), "hold-ended");
+  m_Platform.m_Adapter->onTick(
+      m_Fleet.countAlivePeers(Now) > 0 &&
+          !m_Fleet.selectNewerStateSource(StatePart::Registry),
+      Now);
+  expireTargets();
   m_Context.updateAdmission(Now);
   if (m_Drain.step() != DrainStep::None)
     advanceDrain();
@@ -369,7 +389,7 @@
         {"service", toQt(Each->m_Entry.m_Service.value())},
         {"dataCentre", toQt(Each->m_Entry.m_DataCentre.value())},
         {"draining", Each->m_Entry.m_Draining},
-        {"missing", Each->m_MissingSince.has_value()},
+        {"missing", Each->m_RetainedUntil.has_value()},
         {"leavingMs", LeavingSince ? toJson(ageMillis(*LeavingSince, Now))
                                    : QJsonValue::Null},
         {"waitMs", Each->m_Signals.isWaiting(Now)
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -58,9 +58,10 @@
   void reload(const RoutedSettings &Settings);
 
   void onConfig(RoutingConfigPtr Config) override;
-  void onTargets(std::vector<TargetEntry> Entries) override;
+  void onTargets(std::vector<TargetEntry> Entries,
+                 TimePoint PresentAt) override;
   void onTarget(TargetEntry Entry) override;
-  void onTargetRemoved(const TargetName &Name) override;
+  void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) override;
   void onEvacuations(std::set<DataCentreName> Evacuated) override;
   void onVmAddresses(const std::vector<std::string> &Addresses) override;
 
@@ -71,6 +72,8 @@
   bool isReady() const;
   void handleRegistryChange(const RegistryChange &Change,
                             std::string_view Cause);
+  /** Drops targets that are missing for too long, now and when due. */
+  void expireTargets();
   void onFleetChange();
   void onTick();
   void advanceDrain();
@@ -104,6 +107,7 @@
   Duration m_MeanLag{};
   DrainSequence m_Drain;
   QTimer m_TickTimer;
+  QTimer m_ExpiryTimer;
   std::function<void()> m_OnStopped;
 };
 
--- a/src/node/StateCopier.cpp
+++ b/src/node/StateCopier.cpp
@@ -4,6 +4,7 @@
 #include "state/Errc.h"
 #include "state/Event.h"
 
+#include <charconv>
 #include <fmt/format.h>
 #include <utility>
 
@@ -16,6 +17,9 @@
 /** In queries of VMs that read compressed copies. */
 constexpr const char *CompressedParameter = "compressed=1";
 
+/** Reply header with the sender's clock, in ms. */
+constexpr const char *SentAtHeader = "X-State-Sent-At";
+
 /** Bound for the unpacked size of a copy: several times that of the largest
  *  object that a platform holds. */
 constexpr std::size_t MaxCopyBytes = 16777216;
@@ -30,6 +34,16 @@
                                                     : CopyOutcome::Failed;
 }
 
+std::optional<TimePoint> decodeSentAt(const PeerReply &Reply) {
+  const std::string Text = headerValue(Reply.m_Headers, SentAtHeader);
+  std::int64_t Millis = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return fromMillis(Millis);
+}
+
 } // namespace
 
 StateCopier::StateCopier(PlatformAdapter &Adapter, FleetView &Fleet,
@@ -96,7 +110,9 @@
     return;
   // VMs of earlier releases send copies that are not compressed.
   const auto State = decompress(Reply.m_Body, MaxCopyBytes);
-  m_Adapter.importState(State ? *State : Reply.m_Body);
+  m_Adapter.importState(
+      State ? *State : Reply.m_Body,
+      {.m_RequestedAt = RequestedAt, .m_SentAt = decodeSentAt(Reply)});
   m_OnImported();
 }
 
@@ -132,8 +148,10 @@
 HttpResponse StateCopier::serve(const HttpRequest &Request,
                                 std::size_t PendingAnswers) {
   const TimePoint Start = Clock::now();
-  HttpResponse Response{.m_Body = render(Request.m_Query),
-                        .m_ContentType = "application/octet-stream"};
+  HttpResponse Response{
+      .m_Body = render(Request.m_Query),
+      .m_ContentType = "application/octet-stream",
+      .m_Headers = {{SentAtHeader, std::to_string(toMillis(Start))}}};
   const Duration RenderTime = Clock::now() - Start;
   m_Counters.m_RenderTime += RenderTime;
   const std::size_t Bytes = Response.m_Body.size();
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -183,6 +183,7 @@
   m_Services.erase(Removed->m_Entry.m_Instance);
   if (Node.empty())
     return;
+  Node.mapped()->failUnsentCalls();
   m_OpenedByRemovedPools += Node.mapped()->counters().m_Opened;
   m_DrainingPools.push_back(std::move(Node.mapped()));
 }
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -89,7 +89,8 @@
   void failUnsentCalls(const Target &Destination);
   /** Opens a connection to \p Target if its pool has none. */
   void ensureConnection(const TargetInstance &Target);
-  /** Removes the pool of \p Removed; its outstanding calls still finish. */
+  /** Removes the pool of \p Removed. Calls that no byte was written of end as
+   *  NotSent; the others still finish. */
   void removePool(const TargetPtr &Removed);
   /** Sets this VM's part, from 0 to 1, of the services' connection limits. */
   void setConnectionShares(const RoutingConfig &Config, double Share);
--- a/src/protocol/RoutedSettings.cpp
+++ b/src/protocol/RoutedSettings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double MaxSeconds = 3600;
+constexpr double MaxMilliseconds = 1000 * MaxSeconds;
 constexpr double MaxRequests = 1e6;
 constexpr double MaxCores = 1024;
 constexpr const char *RoutedModeName = "routed";
@@ -77,6 +78,10 @@
      &RoutedSettings::m_SeedAddresses},
     {numberRule("graceSeconds", MaxSeconds, "Time from SIGTERM to SIGKILL."),
      &RoutedSettings::m_GraceSeconds},
+    {numberRule("targetDrainMs", MaxMilliseconds,
+                "Time in ms for which a target serves after the store has "
+                "accepted that it is leaving."),
+     &RoutedSettings::m_TargetDrainMs},
     {numberRule(
          "retryRatio", 1,
          "Maximum hedges and retries of all VMs as a share of a service's "
@@ -148,6 +153,11 @@
   return decodeRoutedSettings(readJsonFile(File));
 }
 
+Duration targetDrainTime(const RoutedSettings &Settings) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Settings.m_TargetDrainMs));
+}
+
 std::vector<std::string> seedGossipAddresses(const RoutedSettings &Settings) {
   std::vector<std::string> Addresses;
   const auto OwnAddress = parseSocketAddress(Settings.m_GossipAddress);
--- a/src/protocol/RoutedSettings.h
+++ b/src/protocol/RoutedSettings.h
@@ -35,10 +35,12 @@
   std::string m_StoreAddress;     ///< "IP:port" of the platform's store.
   std::string m_SeedAddresses;    ///< Comma-separated control addresses of VMs.
   double m_GraceSeconds = 6;      ///< Time from SIGTERM to SIGKILL.
-  double m_RetryRatio = 0.2;      ///< Extra calls as a ratio of requests.
-  double m_RetrySlack = 0;        ///< Additional extra calls per window.
-  double m_ColdMultiplier = 1;    ///< Multiplier of a service's cold rate.
-  double m_ColdSlack = 0;         ///< Additional cold requests per second.
+  /** Time in ms for which a target serves after its entry was removed. */
+  double m_TargetDrainMs = 3000;
+  double m_RetryRatio = 0.2;        ///< Extra calls as a ratio of requests.
+  double m_RetrySlack = 0;          ///< Additional extra calls per window.
+  double m_ColdMultiplier = 1;      ///< Multiplier of a service's cold rate.
+  double m_ColdSlack = 0;           ///< Additional cold requests per second.
   double m_DirectoryTtlSeconds = 2; ///< Cache lifetime of a directory answer.
   /** Maximum delay of the first listings of the store, chosen at random. A copy
    *  of another VM that arrives before makes them unnecessary. */
@@ -65,6 +67,9 @@
                                          const std::string &File);
 RoutedSettingsResult readRoutedSettings(const std::string &File);
 
+/** Time for which a target serves after its entry was removed. */
+Duration targetDrainTime(const RoutedSettings &Settings);
+
 /** The gossip addresses of the seed VMs in \p Settings. All VMs use the same
  *  gossip port. */
 std::vector<std::string> seedGossipAddresses(const RoutedSettings &Settings);
--- a/src/state/Time.h
+++ b/src/state/Time.h
@@ -8,6 +8,7 @@
  */
 
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace figturn {
@@ -38,6 +39,18 @@
 /** A duration on the monotonic clock. */
 using Duration = Clock::duration;
 
+/** \p Time in ms since the clock's start, to be sent to other VMs. */
+inline std::int64_t toMillis(TimePoint Time) {
+  return std::chrono::floor<std::chrono::milliseconds>(Time)
+      .time_since_epoch()
+      .count();
+}
+
+/** The inverse of toMillis(). */
+inline TimePoint fromMillis(std::int64_t Millis) {
+  return TimePoint(std::chrono::milliseconds(Millis));
+}
+
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/transport/PeerFetcher.cpp
+++ b/src/transport/PeerFetcher.cpp
@@ -47,6 +47,7 @@
                  m_IsBusy = false;
                  OnResult({.m_Error = Result.m_Error,
                            .m_Status = Result.m_Status,
+                           .m_Headers = Result.m_Headers,
                            .m_Body = Result.m_Body});
                });
   return true;
--- a/src/transport/PeerFetcher.h
+++ b/src/transport/PeerFetcher.h
@@ -3,6 +3,7 @@
 
 /** Fetches documents from other VMs over HTTP through a TargetPool. */
 
+#include "protocol/HttpMessage.h"
 #include "state/Time.h"
 #include "transport/TargetPool.h"
 
@@ -18,6 +19,7 @@
 struct PeerReply {
   std::error_code m_Error; ///< Set if no complete reply was received.
   unsigned m_Status = 0;   ///< HTTP status; 0 if there is an error.
+  HttpHeaders m_Headers;
   std::string m_Body;
 
   bool isOk() const { return !m_Error && m_Status == 200; }
--- a/test/correctness/StateSpreadReplayTest.cpp
+++ b/test/correctness/StateSpreadReplayTest.cpp
@@ -65,9 +65,9 @@
 class IgnoringListener final : public PlatformListener {
 public:
   void onConfig(RoutingConfigPtr) override {}
-  void onTargets(std::vector<TargetEntry>) override {}
+  void onTargets(std::vector<TargetEntry>, TimePoint) override {}
   void onTarget(TargetEntry) override {}
-  void onTargetRemoved(const TargetName &) override {}
+  void onTargetRemoved(const TargetName &, TimePoint) override {}
   void onEvacuations(std::set<DataCentreName>) override {}
   void onVmAddresses(const std::vector<std::string> &) override {}
 };
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -22,14 +22,15 @@
   void onConfig(RoutingConfigPtr Config) override {
     m_Versions.push_back(Config->version().value());
   }
-  void onTargets(std::vector<TargetEntry> Entries) override {
+  void onTargets(std::vector<TargetEntry> Entries, TimePoint) override {
     m_Listings.push_back(Entries.size());
   }
   void onTarget(TargetEntry Entry) override {
     m_Changed.push_back(Entry.m_Instance.m_Name.value());
   }
-  void onTargetRemoved(const TargetName &Name) override {
+  void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) override {
     m_Removed.push_back(Name.value());
+    m_PresentAt = PresentAt;
   }
   void onEvacuations(std::set<DataCentreName> Evacuated) override {
     m_Evacuated = std::move(Evacuated);
@@ -42,6 +43,7 @@
   std::vector<std::size_t> m_Listings;
   std::vector<std::string> m_Changed;
   std::vector<std::string> m_Removed;
+  TimePoint m_PresentAt; ///< Of the last removal.
   std::set<DataCentreName> m_Evacuated;
   std::vector<std::string> m_Vms;
 };
@@ -81,6 +83,12 @@
   std::unique_ptr<StateSynchronizer> m_Synchronizer;
 };
 
+/** Times of a copy that is sent and received now. */
+CopyTimes copiedNow() {
+  const TimePoint Now = Clock::now();
+  return {.m_RequestedAt = Now, .m_SentAt = Now};
+}
+
 bool isNewerAnywhere(const StateVersion &Left, const StateVersion &Right) {
   return Left.isNewer(StatePart::Registry, Right) ||
          Left.isNewer(StatePart::Config, Right);
@@ -203,12 +211,12 @@
   m_Store->m_IsDown = true;
   m_Recorder = {};
   start();
-  m_Synchronizer->importState(Copy);
+  m_Synchronizer->importState(Copy, {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Versions == std::vector<std::uint64_t>{3});
   BOOST_TEST(m_Recorder.m_Listings == std::vector<std::size_t>{1});
   // An empty, malformed or already imported copy changes nothing.
   for (const char *NextCopy : {"{}", "not json", Copy.c_str()})
-    m_Synchronizer->importState(NextCopy);
+    m_Synchronizer->importState(NextCopy, {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Listings.size() == 1U);
   BOOST_TEST(m_Recorder.m_Versions.size() == 1U);
 }
@@ -251,8 +259,8 @@
                            Follower.stateVersion());
   });
   for (const StatePart Each : {StatePart::Registry, StatePart::Config})
-    Follower.importState(
-        m_Synchronizer->exportState(Follower.stateQuery(Each)));
+    Follower.importState(m_Synchronizer->exportState(Follower.stateQuery(Each)),
+                         copiedNow());
   BOOST_TEST(FollowerRecorder.m_Versions.back() == 5U);
   BOOST_TEST(!isNewerAnywhere(m_Synchronizer->stateVersion(),
                               Follower.stateVersion()));
@@ -286,13 +294,14 @@
                                                    {"changed", QJsonArray{}},
                                                    {"removed", QJsonArray{}},
                                                    {"count", 3}}}});
-  m_Synchronizer->importState(Other);
+  m_Synchronizer->importState(Other, {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Versions.size() == 1U);
   BOOST_TEST(m_Synchronizer->stateVersion().m_Config < 1000U);
   const std::string Query = m_Synchronizer->stateQuery(StatePart::Config);
   BOOST_TEST(Query.find("configVersion=0") != std::string::npos);
   m_Synchronizer->importState(
-      toCompactJson({{"configRevision", 1000}, {"config", routedConfig(8)}}));
+      toCompactJson({{"configRevision", 1000}, {"config", routedConfig(8)}}),
+      {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Versions.back() == 8U);
   BOOST_TEST(
       m_Synchronizer->stateQuery(StatePart::Config).find("configVersion=8") !=
@@ -324,7 +333,8 @@
       toCompactJson({{"targetsRevision", 1000},
                      {"targets", QJsonObject{{"i-1", Entry}}},
                      {"removed", QJsonObject{}},
-                     {"isWhole", false}}));
+                     {"isWhole", false}}),
+      {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Changed == std::vector<std::string>{"i-1"});
 }
 
@@ -420,7 +430,8 @@
   StateSynchronizer Copying(Settings, 2);
   Copying.start(CopyingRecorder);
   for (const StatePart Each : {StatePart::Registry, StatePart::Config})
-    Copying.importState(m_Synchronizer->exportState(Copying.stateQuery(Each)));
+    Copying.importState(m_Synchronizer->exportState(Copying.stateQuery(Each)),
+                        copiedNow());
   BOOST_TEST(Copying.isCurrent());
   BOOST_TEST(CopyingRecorder.m_Listings == std::vector<std::size_t>{1});
   // It watches from the copy's revision on.
@@ -442,7 +453,7 @@
   m_Store->m_IsDown = true;
   start();
   processEventsUntil([&] { return !m_Synchronizer->isReachable(); });
-  m_Synchronizer->importState(Copy);
+  m_Synchronizer->importState(Copy, {.m_RequestedAt = Clock::now()});
   m_Synchronizer->setRole(StoreRole::Follower);
   m_Store->m_IsDown = false;
   processEventsUntil([&] { return m_Synchronizer->isReachable(); });
@@ -461,4 +472,73 @@
   BOOST_TEST(m_Recorder.m_Listings == std::vector<std::size_t>{1});
 }
 
+// A restarted VM used to count a removal from the time at which it learned of
+// it, two seconds after its listing.
+BOOST_AUTO_TEST_CASE(Removal_beforeTheFirstWatch_isDatedByTheListing) {
+  start();
+  processEventsUntil([&] { return !m_Recorder.m_Listings.empty(); });
+  const TimePoint Listed = Clock::now();
+  m_Store->remove("servers", "i-1");
+  processEventsUntil([&] { return !m_Recorder.m_Removed.empty(); });
+  BOOST_TEST((m_Recorder.m_PresentAt <= Listed));
+  BOOST_TEST((m_Recorder.m_PresentAt > Listed - seconds(20)));
+}
+
+BOOST_AUTO_TEST_CASE(Removal_inCopies_isDatedByTheSender) {
+  startAndSettle();
+  Recorder FollowerRecorder;
+  RoutedSettings Settings;
+  Settings.m_Vm = VmName("vm-2");
+  Settings.m_StoreAddress = m_Store->address();
+  Settings.m_GossipAddress = "127.0.0.2:7740";
+  StateSynchronizer Follower(Settings, 2);
+  Follower.start(FollowerRecorder);
+  processEventsUntil([&] { return Follower.isCurrent(); });
+  Follower.setRole(StoreRole::Follower);
+  const std::string Query = Follower.stateQuery(StatePart::Registry);
+  m_Store->remove("servers", "i-1");
+  processEventsUntil([&] { return !m_Recorder.m_Removed.empty(); });
+  const std::string Changes = m_Synchronizer->exportState(Query);
+  // The copy arrives a minute later, by a clock that differs by an hour.
+  const TimePoint Now = Clock::now();
+  const CopyTimes Times{.m_RequestedAt = Now + seconds(60),
+                        .m_SentAt = Now + seconds(60) + std::chrono::hours(1)};
+  const auto Shifted = [](const std::string &State) {
+    QJsonObject Copy = parseJsonObject(State);
+    QJsonObject LastPresent = Copy["lastPresentMs"].toObject();
+    for (const QString &Name : LastPresent.keys())
+      LastPresent[Name] = LastPresent[Name].toInteger() + 3600000;
+    Copy["lastPresentMs"] = LastPresent;
+    Copy["freshAtMs"] = Copy["freshAtMs"].toInteger() + 3600000;
+    return toCompactJson(Copy);
+  };
+  Follower.importState(Shifted(Changes), Times);
+  BOOST_TEST(FollowerRecorder.m_Removed == std::vector<std::string>{"i-1"});
+  BOOST_TEST((FollowerRecorder.m_PresentAt <= Now));
+  Follower.stop();
+}
+
+BOOST_AUTO_TEST_CASE(Removal_inAFullCopy_isDatedByTheSender) {
+  startAndSettle();
+  const std::string Older = m_Synchronizer->exportState("targets=0");
+  const TimePoint Removed = Clock::now();
+  m_Store->remove("servers", "i-1");
+  processEventsUntil([&] { return !m_Recorder.m_Removed.empty(); });
+  m_Synchronizer->readState(StatePart::Registry);
+  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  const std::string Newer = m_Synchronizer->exportState(fmt::format(
+      "targets={}", parseJsonObject(Older)["targetsRevision"].toInteger()));
+  BOOST_TEST(parseJsonObject(Newer)["isWhole"].toBool());
+  m_Synchronizer.reset();
+  m_Store->m_IsDown = true;
+  m_Recorder = {};
+  start();
+  m_Synchronizer->importState(Older, copiedNow());
+  const TimePoint Now = Clock::now() + seconds(60);
+  m_Synchronizer->importState(Newer, {.m_RequestedAt = Now, .m_SentAt = Now});
+  BOOST_TEST(m_Recorder.m_Removed == std::vector<std::string>{"i-1"});
+  BOOST_TEST((m_Recorder.m_PresentAt < Removed + seconds(50)));
+  BOOST_TEST(m_Recorder.m_Listings.back() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetChooserTest.cpp
+++ b/test/correctness/TargetChooserTest.cpp
@@ -114,12 +114,19 @@
 }
 
 BOOST_AUTO_TEST_CASE(Replica_withMissingEntry_isTheLastChoice) {
-  home().m_MissingSince = Start;
+  home().m_RetainedUntil = Start + seconds(2);
   BOOST_TEST(countHomeChoices() == 0);
   m_Targets.resize(1);
   BOOST_TEST(choose() == "home");
 }
 
+BOOST_AUTO_TEST_CASE(Replica_afterItsRetention_isNotChosen) {
+  home().m_RetainedUntil = Start + seconds(2);
+  m_Targets.resize(1);
+  BOOST_TEST(choose(Start + milliseconds(1999)) == "home");
+  BOOST_TEST(choose(Start + seconds(2)) == "none");
+}
+
 BOOST_AUTO_TEST_CASE(ColdReplica_isChosenOnlyWithoutOthersAndWithPermission) {
   home().m_Entry.m_ColdUntil = Start + seconds(3);
   BOOST_TEST(countHomeChoices() == 0);
--- a/test/correctness/TargetConnectionPoolsTest.cpp
+++ b/test/correctness/TargetConnectionPoolsTest.cpp
@@ -80,6 +80,7 @@
   BOOST_TEST((Outcomes.front() == CallOutcome::NotSent));
 }
 
+// A VM ended by itself, as dropping a pool ran a handler that dropped pools.
 BOOST_AUTO_TEST_CASE(Retries_ofCallsToRemovedPools_areAnswered) {
   int Answered = 0;
   const auto Retry = [&](const PooledCallResult &Result) {
@@ -99,6 +100,17 @@
   BOOST_TEST(m_Pools->callsInFlight() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(Call_waitingAtTheRemovalOfItsPool_isNeverWritten) {
+  std::vector<CallOutcome> Outcomes;
+  send(m_First, [&](const PooledCallResult &Result) {
+    Outcomes.push_back(Result.m_Outcome);
+  });
+  m_Pools->removePool(m_First);
+  processEventsUntil([&] { return !Outcomes.empty(); });
+  BOOST_TEST((Outcomes.front() == CallOutcome::NotSent));
+  BOOST_TEST(m_FirstAt.m_Requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Handler_thatRemovesItsOwnPool_leavesOtherResults) {
   int Results = 0;
   for (int I = 0; I < 3; ++I)
--- a/test/correctness/TargetRegistryTest.cpp
+++ b/test/correctness/TargetRegistryTest.cpp
@@ -15,6 +15,16 @@
   ServiceName m_Service{"shard-0"};
 
   void add(const TargetEntry &Entry) { m_Registry.upsert(Entry, Start); }
+  /** When t-1 must no longer be used, if a VM learns of its removal \p Later
+   *  than its entry was last known to be present. */
+  TimePoint unusableAt(Duration Later) {
+    add(makeEntry("t-1"));
+    const TimePoint Learned = Start + Later;
+    if (m_Registry.remove(TargetName("t-1"), Start, Learned)
+            .m_RemovedTargets.size() == 1)
+      return Learned;
+    return m_Registry.nextExpiry().value_or(TimePoint::max());
+  }
   std::size_t knownTargets() const {
     return m_Registry.targets(m_Service).size();
   }
@@ -26,8 +36,9 @@
 
 BOOST_AUTO_TEST_CASE(Entry_missingWithoutDraining_isRetainedThenDropped) {
   add(makeEntry("t-1"));
-  BOOST_TEST(m_Registry.remove(TargetName("t-1"), Start).m_Missing.size() ==
-             1U);
+  BOOST_TEST(
+      m_Registry.remove(TargetName("t-1"), Start, Start).m_Missing.size() ==
+      1U);
   BOOST_TEST(knownTargets() == 1U);
   BOOST_TEST(
       m_Registry.expire(Start + milliseconds(2399)).m_RemovedTargets.empty());
@@ -42,21 +53,57 @@
   add(makeEntry("t-1"));
   const TargetPtr Original = m_Registry.targets(m_Service)[0];
   Original->m_Load.begin(1, Start);
-  m_Registry.replaceAll({}, Start);
-  m_Registry.replaceAll({makeEntry("t-1")}, Start + seconds(2));
+  m_Registry.replaceAll({}, Start, Start);
+  m_Registry.replaceAll({makeEntry("t-1")}, Start + seconds(2),
+                        Start + seconds(2));
   BOOST_TEST(m_Registry.expire(Start + seconds(5)).m_RemovedTargets.empty());
   BOOST_TEST((m_Registry.targets(m_Service)[0] == Original));
   BOOST_TEST(Original->m_Load.outstanding() == 1U);
 }
 
+// The delay until a VM learned of a removal and the retention added up to more
+// than the time for which the target serves.
+BOOST_AUTO_TEST_CASE(Removal_learnedLate_actsWithinTheDrainTime) {
+  for (const milliseconds DrainTime :
+       {milliseconds(1000), milliseconds(3000), milliseconds(6000)}) {
+    m_Registry.setDrainTime(DrainTime);
+    for (milliseconds Later{0}; Later <= DrainTime; Later += milliseconds(50)) {
+      BOOST_TEST((unusableAt(Later) <= Start + DrainTime));
+      m_Registry.expire(Start + seconds(60));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Removal_learnedAfterTheDrainTime_actsAtOnce) {
+  BOOST_TEST((unusableAt(seconds(4)) == Start + seconds(4)));
+  BOOST_TEST(knownTargets() == 0U);
+  BOOST_TEST(!m_Registry.nextExpiry().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Removal_learnedAgain_isNotDelayed) {
+  BOOST_TEST((unusableAt(milliseconds(0)) == Start + milliseconds(2400)));
+  m_Registry.replaceAll({}, Start + seconds(2), Start + seconds(2));
+  BOOST_TEST((m_Registry.nextExpiry() == Start + milliseconds(2400)));
+}
+
+BOOST_AUTO_TEST_CASE(Entry_missingForTwoSeconds_isKept) {
+  add(makeEntry("t-1"));
+  const TargetPtr Original = m_Registry.targets(m_Service)[0];
+  m_Registry.remove(TargetName("t-1"), Start, Start + milliseconds(400));
+  m_Registry.expire(Start + seconds(2));
+  BOOST_TEST(!Original->isGone(Start + seconds(2)));
+  add(makeEntry("t-1"));
+  BOOST_TEST((m_Registry.targets(m_Service)[0] == Original));
+  BOOST_TEST(!Original->isGone(Start + seconds(60)));
+}
+
 BOOST_AUTO_TEST_CASE(DrainedTarget_isDroppedAtOnceWithItsEntry) {
   TargetEntry Leaving = makeEntry("t-1");
   add(Leaving);
   Leaving.m_Draining = true;
   add(Leaving);
-  BOOST_TEST(
-      m_Registry.remove(TargetName("t-1"), Start).m_RemovedTargets.size() ==
-      1U);
+  BOOST_TEST(m_Registry.remove(TargetName("t-1"), Start, Start)
+                 .m_RemovedTargets.size() == 1U);
   BOOST_TEST(knownTargets() == 0U);
 }
 
@@ -88,7 +135,7 @@
 BOOST_AUTO_TEST_CASE(Listing_withoutATarget_retainsIt) {
   add(makeEntry("t-1"));
   add(makeEntry("t-2"));
-  const auto Change = m_Registry.replaceAll({makeEntry("t-2")}, Start);
+  const auto Change = m_Registry.replaceAll({makeEntry("t-2")}, Start, Start);
   BOOST_TEST(Change.m_Missing.size() == 1U);
   BOOST_TEST(knownTargets() == 2U);
 }
