--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -68,6 +68,14 @@
     m_Synchronizer = std::make_unique<StateSynchronizer>(Settings, 1);
     m_Synchronizer->start(m_Recorder);
   }
+  /** Settings of a second VM. */
+  RoutedSettings otherSettings() const {
+    RoutedSettings Settings;
+    Settings.m_Vm = VmName("vm-2");
+    Settings.m_StoreAddress = m_Store->address();
+    Settings.m_GossipAddress = "127.0.0.2:7740";
+    return Settings;
+  }
   void startAndSettle() {
     start();
     processEventsUntil([&] {
@@ -241,11 +249,7 @@
 BOOST_AUTO_TEST_CASE(Copy_importedByFollower_bringsItUpToDate) {
   startAndSettle();
   Recorder FollowerRecorder;
-  RoutedSettings Settings;
-  Settings.m_Vm = VmName("vm-2");
-  Settings.m_StoreAddress = m_Store->address();
-  Settings.m_GossipAddress = "127.0.0.2:7740";
-  StateSynchronizer Follower(Settings, 2);
+  StateSynchronizer Follower(otherSettings(), 2);
   Follower.start(FollowerRecorder);
   processEventsUntil([&] { return Follower.isCurrent(); });
   Follower.setRole(StoreRole::Follower);
@@ -422,10 +426,7 @@
   startAndSettle();
   const int Listings = m_Store->m_RequestCounts["list servers"];
   Recorder CopyingRecorder;
-  RoutedSettings Settings;
-  Settings.m_Vm = VmName("vm-2");
-  Settings.m_StoreAddress = m_Store->address();
-  Settings.m_GossipAddress = "127.0.0.2:7740";
+  RoutedSettings Settings = otherSettings();
   Settings.m_FirstListDelaySeconds = 3600;
   StateSynchronizer Copying(Settings, 2);
   Copying.start(CopyingRecorder);
@@ -461,10 +462,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(FirstListing_withoutACopy_isReadAfterItsDelay) {
-  RoutedSettings Settings;
-  Settings.m_Vm = VmName("vm-2");
-  Settings.m_StoreAddress = m_Store->address();
-  Settings.m_GossipAddress = "127.0.0.2:7740";
+  RoutedSettings Settings = otherSettings();
   Settings.m_FirstListDelaySeconds = 0.1;
   m_Synchronizer = std::make_unique<StateSynchronizer>(Settings, 1);
   m_Synchronizer->start(m_Recorder);
@@ -487,11 +485,7 @@
 BOOST_AUTO_TEST_CASE(Removal_inCopies_isDatedByTheSender) {
   startAndSettle();
   Recorder FollowerRecorder;
-  RoutedSettings Settings;
-  Settings.m_Vm = VmName("vm-2");
-  Settings.m_StoreAddress = m_Store->address();
-  Settings.m_GossipAddress = "127.0.0.2:7740";
-  StateSynchronizer Follower(Settings, 2);
+  StateSynchronizer Follower(otherSettings(), 2);
   Follower.start(FollowerRecorder);
   processEventsUntil([&] { return Follower.isCurrent(); });
   Follower.setRole(StoreRole::Follower);
