Give the lifted limit's test its time, not 3,000 look-ups

A failed run took 0.8 s from its start to its end, with three processes started in it. A fault of the test, as in TargetSignalsTest: it counted attempts where the target's rule has a time.

--- a/test/process/TargetLimitTest.cpp
+++ b/test/process/TargetLimitTest.cpp
@@ -97,7 +97,8 @@
   m_Fleet.runOnStandinThread([this] { m_LimitHeader.clear(); });
   // A VM is told at the next request that its share allows, within a second.
   std::set<int> Told;
-  for (int I = 0; I < 3000 && Told.size() < 3; ++I) {
+  const auto Deadline = ArrivalClock::now() + LimitWindow;
+  while (Told.size() < 3 && ArrivalClock::now() < Deadline) {
     const int Vm = m_Sent % 3;
     if (lookUp() == 200)
       Told.insert(Vm);
