Keep room for small requests beside one exempted request

Callers of ordinary searches got 503 "overloaded" from a VM that was busy with one large search.

Cause: a request that is alone is accepted whatever its size, but its bytes counted against the limits of the others. A search of 1 MiB with its copies for eight shards holds 18,880,097 bytes of 23,488,102; one client's small requests may hold 17,616,076 together with it, so each was refused until it ended. Larger ones also kept out other clients, and evicted what connections received.

The quarter that large requests leave is now kept for small ones and for connections while a request exceeds its limit. Without such a request all limits are as before, so that what callers may hold together grows only by this quarter on top of the exempted request.

--- a/src/coordination/ConnectionBudget.cpp
+++ b/src/coordination/ConnectionBudget.cpp
@@ -25,6 +25,17 @@
   return IsSmall ? Max : Max / 4 * 3;
 }
 
+/** Bytes that requests of more than SmallRequest leave to others, even if one
+ *  of them exceeds the limit because it is alone. */
+constexpr std::size_t reservedBytes(std::size_t Max) {
+  return Max - requestLimit(Max, false);
+}
+
+/** The bytes of a request that count as those of a small one. */
+constexpr std::size_t smallRequestBytes(std::size_t Bytes) {
+  return Bytes <= SmallRequest ? Bytes : 0;
+}
+
 /** Bytes that one client's requests may hold. */
 constexpr std::size_t clientRequestLimit(std::size_t Max, bool IsSmall) {
   return IsSmall ? Max / 4 * 3 : Max / 2;
@@ -196,8 +207,12 @@
   // A request that alone exceeds its client's fraction is served if no other
   // request of its size is in progress.
   const bool IsAlone = m_RequestBytes - HeldBytes <= SmallRequest;
+  const std::size_t Reserved = reservedBytes(Max);
+  const bool FitsReserve =
+      IsSmall && m_SmallRequestBytes + Bytes <= Reserved &&
+      Own.m_SmallRequestBytes + Bytes <= clientRequestLimit(Reserved, true);
   Result.m_IsAccepted =
-      IsAlone ||
+      IsAlone || FitsReserve ||
       (m_RequestBytes + Bytes <= requestLimit(Max, IsSmall) &&
        Own.m_RequestBytes + Bytes <= clientRequestLimit(Max, IsSmall));
   if (!Result.m_IsAccepted) {
@@ -206,8 +221,7 @@
     return Result;
   }
   addBytes(Client, 0, Bytes);
-  m_Shares[Client].m_RequestBytes += Bytes;
-  m_RequestBytes += Bytes;
+  addRequestBytes(Client, HeldBytes, HeldBytes + Bytes);
   releaseUntilWithinLimit(Result, Thread, Now);
   return Result;
 }
@@ -216,11 +230,27 @@
                                       std::size_t Bytes) {
   const std::lock_guard Lock(m_Mutex);
   addBytes(Client, Bytes, 0);
-  m_Shares[Client].m_RequestBytes -= Bytes;
-  m_RequestBytes -= Bytes;
+  addRequestBytes(Client, Bytes, 0);
   eraseUnusedShare(Client);
 }
 
+void ConnectionBudget::addRequestBytes(const std::string &Client,
+                                       std::size_t Before, std::size_t After) {
+  Share &Own = m_Shares[Client];
+  Own.m_RequestBytes += After - Before;
+  m_RequestBytes += After - Before;
+  const std::size_t SmallBefore = smallRequestBytes(Before);
+  const std::size_t SmallAfter = smallRequestBytes(After);
+  Own.m_SmallRequestBytes += SmallAfter - SmallBefore;
+  m_SmallRequestBytes += SmallAfter - SmallBefore;
+}
+
+std::size_t ConnectionBudget::byteLimit() const {
+  return std::max(m_Options.m_MaxBytes,
+                  m_RequestBytes - m_SmallRequestBytes +
+                      reservedBytes(m_Options.m_MaxBytes));
+}
+
 void ConnectionBudget::addBytes(const std::string &Client, std::size_t Removed,
                                 std::size_t Added) {
   m_Shares[Client].m_Bytes += Added - Removed;
@@ -238,7 +268,7 @@
 void ConnectionBudget::releaseUntilWithinLimit(Verdict &Result,
                                                std::size_t Thread,
                                                TimePoint Now) {
-  while (m_Bytes - m_PendingEvictionBytes > m_Options.m_MaxBytes) {
+  while (m_Bytes - m_PendingEvictionBytes > byteLimit()) {
     Result.m_IsNewlyFull |= !std::exchange(m_IsFull, true);
     const auto Id = selectForEviction(std::nullopt, Now);
     if (!Id)
@@ -253,7 +283,7 @@
     Result.m_Evicted.push_back(*Id);
   }
   // Other threads may be busy.
-  while (m_Bytes > toleratedBytes(m_Options.m_MaxBytes)) {
+  while (m_Bytes > toleratedBytes(byteLimit())) {
     const auto Id = selectForEviction(Thread, Now);
     if (!Id)
       break;
--- a/src/coordination/ConnectionBudget.h
+++ b/src/coordination/ConnectionBudget.h
@@ -124,10 +124,17 @@
     std::size_t m_Connections = 0;
     std::size_t m_Bytes = 0;        ///< Of connections and requests.
     std::size_t m_RequestBytes = 0; ///< Of requests.
+    std::size_t m_SmallRequestBytes = 0;
   };
 
   void addBytes(const std::string &Client, std::size_t Removed,
                 std::size_t Added);
+  /** Records that a request of \p Client holds \p After bytes in place of
+   *  \p Before. */
+  void addRequestBytes(const std::string &Client, std::size_t Before,
+                       std::size_t After);
+  /** The bytes above which connections are evicted. */
+  std::size_t byteLimit() const;
   bool replaceUse(Connection &Updated, ConnectionUse Use);
   void removeBytes(Connection &Released);
   void releaseUntilWithinLimit(Verdict &Result, std::size_t Thread,
@@ -144,6 +151,7 @@
   std::size_t m_Bytes = 0;
   std::size_t m_PendingEvictionBytes = 0; ///< Of those, about to be released.
   std::size_t m_RequestBytes = 0;
+  std::size_t m_SmallRequestBytes = 0;
   bool m_IsFull = false;
 };
 
--- a/test/correctness/ConnectionBudgetTest.cpp
+++ b/test/correctness/ConnectionBudgetTest.cpp
@@ -110,6 +110,60 @@
       m_Budget.chargeRequest("a", Thread, 0, 100000, m_Now).m_IsAccepted);
 }
 
+// Regression: a request that was accepted because it was alone kept out small
+// requests, and those still being received.
+BOOST_AUTO_TEST_CASE(Request_beyondItsShare_leavesRoomForSmallOnes) {
+  for (const std::size_t Bytes : {MaxBytes / 5 * 4, MaxBytes, 2 * MaxBytes}) {
+    BOOST_TEST_CONTEXT(Bytes) {
+      // Charged in two steps, as the second depends on the number of calls.
+      const std::size_t First = 100000;
+      BOOST_TEST(
+          m_Budget.chargeRequest("a", Thread, 0, First, m_Now).m_IsAccepted);
+      BOOST_TEST(
+          m_Budget.chargeRequest("a", Thread, First, Bytes - First, m_Now)
+              .m_IsAccepted);
+      for (const char *Client : {"a", "b"}) {
+        const Id Receiving = open(Client);
+        BOOST_TEST(hold(Receiving, 60000).m_IsAccepted, Client);
+        m_Budget.close(Receiving);
+        BOOST_TEST(
+            m_Budget.chargeRequest(Client, Thread, 0, 5000, m_Now).m_IsAccepted,
+            Client);
+      }
+      m_Budget.releaseRequest("a", 5000);
+      m_Budget.releaseRequest("b", 5000);
+      m_Budget.releaseRequest("a", Bytes);
+      BOOST_TEST(m_Budget.heldBytes() == 0U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SmallRequests_thatGrow_takeNoneOfTheSmallOnesRoom) {
+  const auto AcceptSmallOnes = [this](const char *Client) {
+    std::size_t Accepted = 0;
+    while (m_Budget.chargeRequest(Client, Thread, 0, 5000, m_Now).m_IsAccepted)
+      BOOST_TEST_REQUIRE(++Accepted <= MaxBytes / 5000);
+    return Accepted;
+  };
+  for (int Round = 0; Round < 3; ++Round) {
+    BOOST_TEST(
+        m_Budget.chargeRequest("a", Thread, 0, 5000, m_Now).m_IsAccepted);
+    BOOST_TEST(m_Budget.chargeRequest("a", Thread, 5000, 2 * MaxBytes, m_Now)
+                   .m_IsAccepted);
+    // A quarter of the limit, of which one client may have three quarters.
+    const std::size_t OfOneClient = AcceptSmallOnes("a");
+    const std::size_t OfAnother = AcceptSmallOnes("b");
+    BOOST_TEST(OfOneClient == 37U);
+    BOOST_TEST(OfAnother == 13U);
+    for (std::size_t I = 0; I < OfOneClient; ++I)
+      m_Budget.releaseRequest("a", 5000);
+    for (std::size_t I = 0; I < OfAnother; ++I)
+      m_Budget.releaseRequest("b", 5000);
+    m_Budget.releaseRequest("a", 2 * MaxBytes + 5000);
+    BOOST_TEST(m_Budget.heldBytes() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Bytes_ofSmallHolders_areNotReleasedForLargeRequests) {
   const Id Small = open("a");
   hold(Small, 4000);
--- a/test/process/SearchCrowdTest.cpp
+++ b/test/process/SearchCrowdTest.cpp
@@ -98,6 +98,21 @@
   checkVmServes();
 }
 
+// Regression: a search that alone held more than its client's share kept out
+// ordinary ones.
+BOOST_AUTO_TEST_CASE(LargeSearch_inProgress_leavesRoomForAnOrdinaryOne) {
+  for (const std::string &Target : m_Cluster.targetNames())
+    m_Cluster.controlTarget(Target, {{"delayMs", 200}});
+  const std::string Start = R"({"deadlineMs": 5000, "query": {"text": ")";
+  const std::string End = R"(", "limit": 3}})";
+  Crowd Caller(m_Cluster.callerPort(0), 1);
+  Caller.send(headOfBody(BodyLimit) + Start +
+              std::string(BodyLimit - Start.size() - End.size(), 'x') + End);
+  while (m_Cluster.sumTargetCounters("inFlight") == 0)
+    ;
+  checkVmServes();
+}
+
 BOOST_AUTO_TEST_CASE(LargeChunks_shortOfTheirEnd_leaveMemory) {
   Crowd Callers(m_Cluster.callerPort(0), 200);
   Callers.send(ChunkedHead +
