Refuse requests with unreadable transfer codings

Cause: the parser ignores such a Transfer-Encoding, and the reader checked nothing more. RFC 9112 (6.3) leaves no way to find the end of such a body, so the answer is 400 and the connection closes. "gzip, chunked" was read as far as the chunks go, and the target got the compressed body unlabelled; it gets 501, as RFC 9112 (6.1) asks for.

Before: the new test's first case got no answer of the server's, as its handler had the hidden request. After: all eight field lists with both bodies pass.

--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -62,6 +63,25 @@
   return 400;
 }
 
+/** Status with which to refuse a request whose body can't be delimited or
+ *  decoded because of its transfer codings (RFC 9112, sections 6.1 and 6.3); 0
+ *  if it can. The parser takes such a request for one without a body. */
+unsigned statusForTransferCodings(const http::fields &Fields) {
+  const auto [Begin, End] = Fields.equal_range(http::field::transfer_encoding);
+  if (Begin == End)
+    return 0;
+  std::size_t Count = 0;
+  bool IsChunkedLast = false;
+  for (auto Field = Begin; Field != End; ++Field)
+    for (const auto Coding : http::token_list(Field->value())) {
+      ++Count;
+      IsChunkedLast = beast::iequals(Coding, "chunked");
+    }
+  if (!IsChunkedLast)
+    return 400;
+  return Count == 1 ? 0 : 501;
+}
+
 /** Replaces line breaks in a header field, to prevent header injection. */
 std::string replaceLineBreaks(std::string Value) {
   std::replace(Value.begin(), Value.end(), '\r', ' ');
@@ -144,6 +164,8 @@
     // What the parser leaves is part of a header, of a chunk's first line or of
     // trailers, none of which it limits after the header.
     m_RefusalStatus = 431;
+  else if (m_Parser->m_Parser.is_header_done())
+    m_RefusalStatus = statusForTransferCodings(m_Parser->m_Parser.get());
   return Skipped + Consumed;
 }
 
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -33,8 +33,8 @@
   bool hasStarted() const { return m_Parser != nullptr; }
   /** Whether a complete request was parsed. */
   bool isComplete() const;
-  /** Status with which to refuse the request (400, 413 or 431); 0 if the input
-   *  is valid so far. */
+  /** Status with which to refuse the request (400, 413, 431 or 501); 0 if the
+   *  input is valid so far. */
   unsigned refusalStatus() const { return m_RefusalStatus; }
   /** Whether the header is complete and asks for "100 Continue" before the
    *  body is sent. */
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -48,6 +48,37 @@
   BOOST_TEST(nextExchange()->request().m_Body == "abcde");
 }
 
+// Regression: the body of such a request was read as the next request.
+BOOST_AUTO_TEST_CASE(Request_withAnUnreadableTransferCoding_isRefused) {
+  start();
+  const std::string Chunked = "5\r\nhello\r\n0\r\n\r\n";
+  struct Case {
+    std::string m_Fields;
+    unsigned m_Status;
+  };
+  for (const Case &Each :
+       {Case{"Transfer-Encoding: identity\r\n", 400U},
+        Case{"Transfer-Encoding: gzip\r\n", 400U},
+        Case{"Transfer-Encoding: chunked, gzip\r\n", 400U},
+        Case{"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", 400U},
+        Case{"Transfer-Encoding: \r\n", 400U},
+        Case{"Transfer-Encoding: gzip, chunked\r\n", 501U},
+        Case{"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", 501U},
+        Case{"Transfer-Encoding: chunked, chunked\r\n", 501U}})
+    for (const std::string &Body : {Chunked, serializePost("/hidden", "")}) {
+      RawClient Client(port());
+      Client.send("POST /outer HTTP/1.1\r\nHost: f\r\n" + Each.m_Fields +
+                  "\r\n" + Body);
+      const auto Reply = Client.receive();
+      BOOST_REQUIRE(Reply.has_value());
+      // A hidden request is no chunk, which may be noticed first.
+      if (Body == Chunked || Reply->m_Status != 400U)
+        BOOST_TEST(Reply->m_Status == Each.m_Status, Each.m_Fields);
+      BOOST_TEST(!Reply->m_KeepAlive);
+    }
+  BOOST_TEST(handledCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(Requests_pipelined_areAnsweredInTheirOrder) {
   start();
   RawClient Client(port());
