Apply changed limits to kept connections

Cause: a connection copied the limits of headers and bodies into its reader when it was accepted, so that setLimits(), which promises them for requests that start afterwards, reached new connections only. The reader now gets them when a request starts; one that has begun keeps those of its start.

Before: Limits_changed_applyToKeptConnections got 413 for the body within the raised limit. After: it passes, also for a lowered one.

--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -24,6 +24,12 @@
   HttpRequestReader(std::size_t HeaderLimit, std::size_t BodyLimit);
   ~HttpRequestReader();
 
+  /** Changes the limits; called between requests. */
+  void setLimits(std::size_t HeaderLimit, std::size_t BodyLimit) {
+    m_HeaderLimit = HeaderLimit;
+    m_BodyLimit = BodyLimit;
+  }
+
   /** Parses \p Bytes, at most up to the end of the request, and returns the
    *  number of bytes consumed. The caller passes the remaining bytes again,
    *  followed by further input. */
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -243,6 +243,9 @@
 bool HttpConnection::parseInput() {
   bool Parsed = false;
   while (canReadMore()) {
+    if (!m_Reader.hasStarted())
+      m_Reader.setLimits(m_State->m_Options.m_HeaderLimit,
+                         m_State->m_Options.m_BodyLimit);
     const QByteArray Received = m_Socket.readAll();
     m_HasProgressed = m_HasProgressed || !Received.isEmpty();
     m_Input.append(Received.constData(),
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -379,6 +379,43 @@
   BOOST_TEST(IsReturned());
 }
 
+namespace {
+struct SingleWorkerFixture : HttpServerFixture {
+  SingleWorkerFixture() : HttpServerFixture(1) {}
+
+  void setBodyLimit(std::size_t Limit) {
+    std::promise<void> Done;
+    workers().post(0, [&] {
+      server().setLimits({.m_HeaderLimit = 16384,
+                          .m_BodyLimit = Limit,
+                          .m_RequestTimeout = seconds(5),
+                          .m_IdleTimeout = seconds(60)});
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+};
+} // namespace
+
+// Regression: kept connections refused bodies by the limit that was in force
+// when they were accepted.
+BOOST_FIXTURE_TEST_CASE(Limits_changed_applyToKeptConnections,
+                        SingleWorkerFixture) {
+  start({.m_BodyLimit = 1000});
+  RawClient Client(port());
+  const auto Serve = [&](std::size_t Size) {
+    Client.send(serializePost("/", std::string(Size, 'x')));
+    nextExchange()->respond({});
+    return Client.receive().value().m_Status;
+  };
+  BOOST_TEST(Serve(1000) == 200U);
+  setBodyLimit(5000);
+  BOOST_TEST(Serve(5000) == 200U);
+  setBodyLimit(2000);
+  Client.send(serializePost("/", std::string(2001, 'x')));
+  BOOST_TEST(Client.receive().value().m_Status == 413U);
+}
+
 BOOST_AUTO_TEST_CASE(Request_withoutRoomForIt_isRefusedAndNotHandled) {
   start({.m_BodyLimit = 200000, .m_MaxBytes = 400000});
   std::vector<std::unique_ptr<RawClient>> Clients;
