Don't forward a target's 503 as a promise

Cause: only the header X-Not-Executed proves that a request did not run, and classifyReply() rates a 503 without it as a failure. But the last failed reply was forwarded as the target's own error if its status was 500 or more, 503 included. impliesNotRun() now names the statuses that promise it; a reply with one of them isn't kept, and the caller gets 502.

Before: Reply_thatOnlyImpliesNotRun_isNotForwarded got 503 for a single run and for a look-up. After: 502 with 408, 429 and 503; a 500 is forwarded as before.

--- a/src/node/RoutedRequestRunner.cpp
+++ b/src/node/RoutedRequestRunner.cpp
@@ -460,6 +460,7 @@
       return;
     }
     if (Result.m_Outcome == CallOutcome::Failed && IsReply &&
+        !impliesNotRun(Result.m_Status) &&
         !headerValue(Result.m_Headers, m_Context.headers().m_TargetSignature)
              .empty())
       m_ErrorReply = std::move(Result);
--- a/src/protocol/RoutedProtocol.cpp
+++ b/src/protocol/RoutedProtocol.cpp
@@ -138,6 +138,11 @@
   return Bytes;
 }
 
+bool impliesNotRun(unsigned Status) {
+  return Status == StatusRequestTimeout || Status == StatusMisdirected ||
+         Status == StatusTooManyRequests || Status == StatusUnavailable;
+}
+
 CallOutcome classifyReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                           const RoutedHeaders &Headers) {
   if (Status == StatusMisdirected)
@@ -151,11 +156,10 @@
       (headerValue(ReplyHeaders, Headers.m_TargetSignature).empty() ||
        !headerValue(ReplyHeaders, "Content-Encoding").empty()))
     return CallOutcome::Failed;
-  // These statuses imply "not run", but only the header above is proof of it.
-  if (Status == StatusTooManyRequests || Status == StatusRequestTimeout)
-    return CallOutcome::Failed;
-  return Status >= FirstServerError ? CallOutcome::Failed
-                                    : CallOutcome::Answered;
+  // Only the header above is proof that the request did not run.
+  return Status >= FirstServerError || impliesNotRun(Status)
+             ? CallOutcome::Failed
+             : CallOutcome::Answered;
 }
 
 CallOutcome classifyShardReply(unsigned Status, const HttpHeaders &ReplyHeaders,
--- a/src/protocol/RoutedProtocol.h
+++ b/src/protocol/RoutedProtocol.h
@@ -51,6 +51,10 @@
                              const TargetInstance &Target, milliseconds Timeout,
                              const RoutedHeaders &Headers);
 
+/** Whether callers take a reply with \p Status as a promise that the request
+ *  did not run. A target's reply is no proof of it. */
+bool impliesNotRun(unsigned Status);
+
 /** Classifies a complete reply to a request that goes to one target. */
 CallOutcome classifyReply(unsigned Status, const HttpHeaders &ReplyHeaders,
                           const RoutedHeaders &Headers);
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -156,6 +156,35 @@
     BOOST_TEST(book("b-" + std::to_string(I)).m_Status == 200U);
 }
 
+// Regression: a target's 503 was forwarded as the promise that the request had
+// not run, and callers sent it again.
+BOOST_AUTO_TEST_CASE(Reply_thatOnlyImpliesNotRun_isNotForwarded) {
+  for (const unsigned Status : {408U, 429U, 503U}) {
+    setRunHandler(*m_Desk, [Status](const SimpleHttpRequest &Request,
+                                    SimpleHttpResponder Reply) {
+      Reply.send(Status, "failed",
+                 "X-Server-Stamp: s\r\nX-Request-Id: " +
+                     Request.header("x-request-id") + "\r\n");
+    });
+    const std::string Id = "b-" + std::to_string(Status);
+    BOOST_TEST(book(Id).m_Status == 502U, Status);
+    BOOST_TEST(get("/look/x", "q-" + Id).m_Status == 502U, Status);
+  }
+}
+
+// Other errors are the target's own answers.
+BOOST_AUTO_TEST_CASE(Reply_withAServerError_isForwarded) {
+  setRunHandler(
+      *m_Desk, [](const SimpleHttpRequest &Request, SimpleHttpResponder Reply) {
+        Reply.send(500, "failed",
+                   "X-Server-Stamp: s\r\nX-Request-Id: " +
+                       Request.header("x-request-id") + "\r\n");
+      });
+  const RoutedAnswer Answer = book("b-1");
+  BOOST_TEST(Answer.m_Status == 500U);
+  BOOST_TEST(Answer.m_Body == "failed");
+}
+
 BOOST_AUTO_TEST_CASE(Reply_truncatedByReset_isRejected) {
   setRunHandler(*m_Desk, [](const SimpleHttpRequest &Request,
                             SimpleHttpResponder Reply) {
