Finish requests that arrive late in a planned stop

Cause: the step that finishes requests ended when one tick found none that was read, though some were partly received; the step after it didn't look at requests at all, and has nothing to wait for in routed mode. Partly received requests now count, for at most the request timeout each, and the last step ends only without requests, in both modes.

--- a/src/coordination/DrainSequence.cpp
+++ b/src/coordination/DrainSequence.cpp
@@ -11,6 +11,8 @@
 
 DrainStep DrainSequence::advance(const DrainProgress &Progress, TimePoint Now) {
   const Duration StepTime = Now - m_StepStart;
+  const bool HasRequests =
+      Progress.m_CallerRequests > 0 || Progress.m_SingleRuns > 0;
   bool IsComplete = false;
   switch (m_Step) {
   case DrainStep::None:
@@ -20,10 +22,10 @@
     IsComplete = StepTime >= m_Options.m_AddressLifetime;
     break;
   case DrainStep::Finishing:
-    IsComplete = Progress.m_CallerRequests == 0 && Progress.m_SingleRuns == 0;
+    IsComplete = !HasRequests;
     break;
   case DrainStep::LeavingMembership:
-    IsComplete = Progress.m_PeerCalls == 0 &&
+    IsComplete = !HasRequests && Progress.m_PeerCalls == 0 &&
                  (Progress.m_Removed || StepTime >= m_Options.m_LeaveTimeout);
     break;
   }
--- a/src/coordination/DrainSequence.h
+++ b/src/coordination/DrainSequence.h
@@ -5,7 +5,8 @@
  * Steps of a planned stop. First the VM is no longer advertised, but serves
  * until no caller can still hold its address. It then accepts no new
  * connections and finishes its requests, releases its slots by leaving the
- * member list, and ends. No request is interrupted.
+ * member list, and ends. No request is interrupted, including those that arrive
+ * on kept connections until the end.
  */
 
 #include "state/Time.h"
@@ -17,7 +18,7 @@
 
 /** Remaining work of the VM. */
 struct DrainProgress {
-  /** Requests of callers, running or waiting. */
+  /** Requests of callers: partly received, running or waiting. */
   std::size_t m_CallerRequests = 0;
   std::size_t m_PeerCalls = 0; ///< Calls that run here for other VMs.
   /** Single-run requests whose outcome is not recorded yet. */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -236,7 +236,8 @@
 }
 
 DrainProgress Node::drainProgress() const {
-  return {.m_CallerRequests = m_Server.pendingRequests() + m_Callers.pending(),
+  return {.m_CallerRequests =
+              m_Server.unfinishedRequests() + m_Callers.pending(),
           .m_PeerCalls = m_PeerEndpoint.calls(),
           .m_SingleRuns = m_SingleRuns.running(),
           .m_Removed = m_MembershipDriver.isRemoved()};
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -337,7 +337,7 @@
 void RoutedNode::advanceDrain() {
   const DrainStep Previous = m_Drain.step();
   const DrainStep Step =
-      m_Drain.advance({.m_CallerRequests = m_CallerServer->pendingRequests(),
+      m_Drain.advance({.m_CallerRequests = m_CallerServer->unfinishedRequests(),
                        .m_Removed = true},
                       Clock::now());
   if (Step == Previous)
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -196,6 +196,8 @@
 }
 
 HttpConnection::~HttpConnection() {
+  m_Closed = true;
+  countIncompleteRequest();
   m_Socket.disconnect(this);
   for (auto &Each : m_Pipeline)
     Each.m_Exchange->close();
@@ -365,7 +367,18 @@
   return {.m_Phase = phase(), .m_Bytes = requestBytes() + answerBytes()};
 }
 
+void HttpConnection::countIncompleteRequest() {
+  const bool IsIncomplete = m_RequestStarted && !m_Lingering && !m_Closed;
+  if (std::exchange(m_IsCountedIncomplete, IsIncomplete) == IsIncomplete)
+    return;
+  if (IsIncomplete)
+    ++m_State->m_IncompleteRequests;
+  else
+    --m_State->m_IncompleteRequests;
+}
+
 void HttpConnection::updateUse() {
+  countIncompleteRequest();
   if (m_Closed)
     return;
   const ConnectionUse Use = currentUse();
@@ -404,6 +417,7 @@
   }
   if (m_Closed)
     return;
+  countIncompleteRequest();
   m_Use = currentUse();
   m_State->m_Connections->record(m_Id, *m_Use);
 }
@@ -567,6 +581,7 @@
   if (m_Closed)
     return;
   m_Closed = true;
+  countIncompleteRequest();
   m_State->m_Connections->close(m_Id);
   m_Timer.stop();
   m_Socket.disconnect(this);
--- a/src/transport/HttpConnection.h
+++ b/src/transport/HttpConnection.h
@@ -64,6 +64,8 @@
   void refuseRequest(unsigned Status, std::string_view Target);
   HttpResponse refusal(unsigned Status, std::string_view Target) const;
   void updateUse();
+  /** Counts whether a request is partly received. */
+  void countIncompleteRequest();
   ConnectionUse currentUse() const;
   ConnectionPhase phase() const;
   bool hasPendingRequest() const;
@@ -94,6 +96,7 @@
   HttpRequestReader m_Reader;
   std::string m_Input;                ///< Received bytes not yet parsed.
   bool m_RequestStarted = false;      ///< A request is partly received.
+  bool m_IsCountedIncomplete = false; ///< As last counted in the state.
   bool m_RequestTimerRunning = false; ///< The timer covers the current request.
   bool m_IdleTimerRunning = false;    ///< The timer covers the time between.
   bool m_ContinueSent = false;        ///< "100 Continue" sent for the request.
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -110,6 +110,9 @@
   void closeIdle();
   /** Number of requests read whose answers are not yet completely sent. */
   std::size_t pendingRequests() const;
+  /** Number of requests that are partly read, or read and not completely
+   *  answered. */
+  std::size_t unfinishedRequests() const;
   std::size_t connections() const;
 
 private:
--- a/src/transport/HttpServerState.h
+++ b/src/transport/HttpServerState.h
@@ -38,7 +38,8 @@
   HttpServerOptions m_Options;
   std::shared_ptr<CallerConnections> m_Connections; ///< Never null.
   HttpHandler m_Handler;
-  std::atomic<std::size_t> m_PendingRequests = 0; ///< Answer not yet sent.
+  std::atomic<std::size_t> m_PendingRequests = 0;    ///< Answer not yet sent.
+  std::atomic<std::size_t> m_IncompleteRequests = 0; ///< Partly received.
   std::atomic<std::size_t> m_OpenConnections = 0;
   std::atomic<bool> m_CloseAfterAnswers = false;
   /** Connections by worker index; each set is accessed by its worker only. */
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -271,6 +271,35 @@
   BOOST_TEST(server().pendingRequests() == 0);
 }
 
+// Regression: a planned stop ended while requests were being received.
+BOOST_AUTO_TEST_CASE(Request_partlyReceived_countsAsUnfinished) {
+  start({.m_RequestTimeout = milliseconds(300)});
+  const auto Expect = [this](std::size_t Count) {
+    waitUntil([&] { return server().unfinishedRequests() == Count; });
+  };
+  const std::string Whole = serializePost("/", "body");
+  const std::string Start = Whole.substr(0, Whole.size() - 1);
+  RawClient Client(port());
+  Client.send(Start);
+  Expect(1);
+  BOOST_TEST(server().pendingRequests() == 0U);
+  Client.send("y");
+  const auto Exchange = nextExchange();
+  Expect(1);
+  Exchange->respond({});
+  Client.receive();
+  Expect(0);
+  Client.send(Start);
+  Expect(1);
+  Client.close();
+  Expect(0);
+  RawClient Late(port());
+  Late.send(Start);
+  Expect(1);
+  BOOST_TEST(Late.receive().value().m_Status == 408U);
+  Expect(0);
+}
+
 BOOST_AUTO_TEST_CASE(PlannedStop_withConnectionsNotAcceptedYet_answersThem) {
   start();
   std::promise<void> Blocked;
