Report a reset that was noticed when writing

Cause: a socket reports its pending error once. While request bytes waited, send() got it, and recv() then returned 0 as after an orderly end. The socket now keeps that a write failed. EPIPE doesn't count, as the kernel reports it after the remote end has closed in order; such an answer is complete.

Before: Peer_resetWhileBytesWait_isBroken failed, Peer_resetAfterItsEnd_isClosed passed.

--- a/src/transport/StreamSocket.cpp
+++ b/src/transport/StreamSocket.cpp
@@ -113,7 +113,9 @@
       break;
     if (SentCount < 0) {
       // Input received before the error is still read; the read notifier then
-      // reports the close.
+      // reports the close. It doesn't see the error, which this call has taken.
+      // EPIPE: the remote end had closed the connection before.
+      m_WasReset = m_WasReset || errno != EPIPE;
       m_Output.clear();
       break;
     }
@@ -153,8 +155,9 @@
     if (ReadCount < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
       return;
     if (ReadCount <= 0) {
-      closeWithReason(ReadCount == 0 ? StreamCloseReason::Closed
-                                     : StreamCloseReason::Broken);
+      closeWithReason(ReadCount == 0 && !m_WasReset
+                          ? StreamCloseReason::Closed
+                          : StreamCloseReason::Broken);
       return;
     }
     m_Input.append(Buffer.data(), static_cast<std::size_t>(ReadCount));
--- a/src/transport/StreamSocket.h
+++ b/src/transport/StreamSocket.h
@@ -81,6 +81,7 @@
   int m_Descriptor = -1;
   bool m_Connected = false;
   bool m_WasClosed = false;
+  bool m_WasReset = false; ///< Noticed when writing.
   std::string m_Input;
   std::string m_Output;
   std::unique_ptr<QSocketNotifier> m_ReadNotifier;
