--- /dev/null
+++ b/test/soak/DeploymentRun.h
@@ -0,0 +1,171 @@
+#ifndef FIGTURN_SOAK_DEPLOYMENTRUN_H
+#define FIGTURN_SOAK_DEPLOYMENTRUN_H
+
+/**
+ * Plays one deployment as real processes: its numbers of VMs, shards and
+ * targets, their slots and times of work, callers that keep their connections,
+ * and its kinds of planned work and disruptions, as far apart as on a day. It
+ * checks the rules whose bounds count only for VMs in touch: proper requests
+ * aren't denied, and a leaving target gets no request after its drain time.
+ */
+
+#include "soak/FaultProxy.h"
+#include "soak/TouchLog.h"
+#include "support/RoutedFleet.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace figturn::soak {
+
+/** Parameters of one run. */
+struct DeploymentOptions {
+  std::uint32_t m_Seed = 1;
+  std::size_t m_VmCount = 12;
+  std::size_t m_SpareVmCount = 6;
+  std::size_t m_ShardCount = 10;
+  std::size_t m_CallerCount = 60;
+  std::chrono::seconds m_Length{40};
+  std::string m_Binary;    ///< Program of the VMs; empty: this build's.
+  std::string m_LogFolder; ///< The VMs' output is kept here; empty: nowhere.
+  bool m_IsVerbose = false;
+};
+
+class DeploymentRun {
+public:
+  explicit DeploymentRun(DeploymentOptions Options);
+  ~DeploymentRun();
+
+  /** Plays the deployment; returns the violations. */
+  std::vector<std::string> run();
+  /** Counts of the answers by status, for the report. */
+  std::string summary() const;
+
+private:
+  struct Vm {
+    std::string m_Name;
+    test::RoutedFleet::Vm *m_Process = nullptr;
+    std::unique_ptr<FaultProxy> m_Store; ///< Its way to the store.
+    bool m_IsBusy = false;               ///< Disrupted at present.
+  };
+  /** One target; used on the stand-ins' thread. */
+  struct Target {
+    std::string m_Id;
+    std::string m_Service;
+    standin::SearcherStandin *m_Searcher = nullptr;
+    std::size_t m_Slots = 4;
+    std::size_t m_Working = 0;
+    double m_Slowness = 1;
+    bool m_NamesLeaving = false; ///< Its answers say that it leaves.
+    bool m_IsLeaving = false;
+    SteadyTime m_PausePhase;
+    std::deque<std::function<void()>> m_Queue;
+    SteadyTime m_LeftAt = SteadyTime::max(); ///< Acknowledged by the store.
+    bool m_LeftWhileStable = false;
+    /** When the target first told a VM that it leaves. */
+    std::map<std::string, SteadyTime> m_ToldAt;
+  };
+  struct AddedRoute {
+    SteadyTime m_AddedAt;
+    SteadyTime m_RemovedAt = SteadyTime::max();
+  };
+  struct Sent {
+    std::string m_Vm;
+    SteadyTime m_At;
+  };
+  struct Step {
+    const char *m_Name;
+    int m_Weight;
+    void (DeploymentRun::*m_Run)();
+  };
+  static const std::vector<Step> &steps();
+
+  void startVm();
+  Target &addTarget(const std::string &Service);
+  void publishConfig();
+  void runCaller(std::size_t Number);
+  /** Sends requests on the routes added last to one VM. */
+  void runProbe(std::size_t VmIndex);
+  /** Sends a request, in parts of a body as callers do, and checks the answer.
+   *  Returns whether the connection can be used again. */
+  bool exchange(test::RawClient &Client, const std::string &VmName,
+                const std::string &Id, const std::string &Path,
+                const std::string &Body, bool InChunks, std::mt19937 &Random);
+  void onArrival(Target &Receiver, const standin::SimpleHttpRequest &Request,
+                 const standin::SimpleHttpResponder &Reply);
+  void startWork(Target &Worker, const standin::SimpleHttpRequest &Request,
+                 const standin::SimpleHttpResponder &Reply);
+  void checkDrain(const Target &Receiver, const std::string &Id,
+                  SteadyTime Now);
+  void fail(const std::string &Rule, const std::string &Message);
+  void after(std::chrono::milliseconds Delay, std::function<void()> Task);
+  void runDueTasks();
+  std::chrono::milliseconds randomTime(int MinMs, int MaxMs);
+  Vm *acquireVm();
+  void release(Vm &Released);
+  void restart(Vm &Restarted);
+  Target *randomReadyTarget();
+  void leave(bool Announced);
+  void disruptStore(std::chrono::milliseconds Time,
+                    const std::function<void(bool IsDisrupted)> &Apply);
+  void forEachProxy(const std::function<void(FaultProxy &)> &Apply);
+
+  void stopVm();
+  void killVm();
+  void freezeVm();
+  void reloadVm();
+  void addVm();
+  void cutVmFromStore();
+  void addRoute();
+  void changeLimits();
+  void drainTarget();
+  void removeTarget();
+  void slowTarget();
+  void crashTarget();
+  void silenceStoreConnections();
+  void takeStoreDown();
+  void slowStore();
+  void loseStoreReplies();
+  void compactHistory();
+
+  DeploymentOptions m_Options;
+  std::mt19937 m_Random;
+  test::RoutedFleet m_Fleet;
+  std::unique_ptr<QObject> m_Context; ///< Lives on the stand-ins' thread.
+  TouchLog m_Touch;
+  std::vector<std::unique_ptr<Vm>> m_Vms;
+  std::vector<std::unique_ptr<Target>> m_Targets;
+  std::size_t m_TargetsCreated = 0;
+  SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
+  std::multimap<SteadyTime, std::function<void()>> m_Tasks;
+
+  mutable std::mutex m_Mutex; ///< Guards the members below.
+  std::map<std::string, Sent> m_Sent;
+  std::map<unsigned, std::size_t> m_Statuses;
+  std::map<std::string, std::size_t> m_FailureCounts; ///< By rule.
+  std::vector<std::string> m_Failures;
+  std::map<int, AddedRoute> m_Routes;
+  std::size_t m_BodyLimit = 262144;
+  std::size_t m_LeastBodyLimit = 262144; ///< Of the versions that may hold.
+  std::size_t m_UsableVmCount = 0;
+  int m_ConfigVersion = 10;
+
+  std::atomic<std::int64_t> m_LagMs = 0; ///< Of the stand-ins' event loop.
+  std::atomic<bool> m_Stopping = false;
+  std::vector<std::thread> m_Callers;
+};
+
+} // namespace figturn::soak
+
+#endif // FIGTURN_SOAK_DEPLOYMENTRUN_H
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -1,5 +1,7 @@
-/** Runs the fault soak for a range of seeds in turn; see docs/SOAK.md. */
+/** Runs the fault soak, or plays a deployment, for a range of seeds in turn;
+ *  see docs/SOAK.md. */
 
+#include "soak/DeploymentRun.h"
 #include "soak/SoakRun.h"
 
 #include <cstdlib>
@@ -11,50 +13,70 @@
 constexpr int UsageError = 2;
 
 int usage() {
-  fmt::print(stderr, "figturn-soak FIRST-SEED [COUNT [FAULTS [VMS]]] "
-                     "[--verbose]\n");
+  fmt::print(stderr,
+             "figturn-soak FIRST-SEED [COUNT [FAULTS [VMS]]] [--verbose]\n"
+             "figturn-soak --deployment FIRST-SEED [COUNT [SECONDS [VMS]]] "
+             "[--binary=FILE] [--logs=FOLDER] [--verbose]\n");
   return UsageError;
 }
 
+/** Plays each seed in turn and prints its outcome; returns the exit code. */
+template <typename Run, typename Options>
+int playSeeds(Options RunOptions, std::uint32_t First, std::uint32_t Count) {
+  std::uint32_t Passed = 0;
+  for (std::uint32_t Seed = First; Seed < First + Count; ++Seed) {
+    RunOptions.m_Seed = Seed;
+    Run Played(RunOptions);
+    const auto Failures = Played.run();
+    fmt::print("seed {}: {}{}\n", Seed, Failures.empty() ? "ok" : "FAILED",
+               Played.summary());
+    for (const std::string &Each : Failures)
+      fmt::print("  {}\n", Each);
+    std::fflush(stdout);
+    Passed += Failures.empty() ? 1 : 0;
+  }
+  fmt::print("{} passed, {} failed\n", Passed, Count - Passed);
+  return Passed == Count ? 0 : 1;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
   using namespace figturn::soak;
   std::vector<unsigned long> Numbers;
-  SoakOptions Options;
+  SoakOptions Soak;
+  DeploymentOptions Deployment;
+  bool PlaysDeployment = false;
   for (int I = 1; I < Count; ++I) {
     char *End = nullptr;
     const std::string Value = Arguments[I];
+    const std::string Text = Value.substr(Value.find('=') + 1);
     if (Value == "--verbose") {
-      Options.m_IsVerbose = true;
-      continue;
+      Soak.m_IsVerbose = Deployment.m_IsVerbose = true;
+    } else if (Value == "--deployment") {
+      PlaysDeployment = true;
+    } else if (Value.starts_with("--binary=")) {
+      Deployment.m_Binary = Text;
+    } else if (Value.starts_with("--logs=")) {
+      Deployment.m_LogFolder = Text;
+    } else {
+      Numbers.push_back(std::strtoul(Value.c_str(), &End, 10));
+      if (*End != 0 || Value.empty())
+        return usage();
     }
-    Numbers.push_back(std::strtoul(Value.c_str(), &End, 10));
-    if (*End != 0 || Value.empty())
-      return usage();
   }
   if (Numbers.empty() || Numbers.size() > 4)
     return usage();
   Numbers.resize(4);
-  const std::uint32_t First = static_cast<std::uint32_t>(Numbers[0]);
+  const auto First = static_cast<std::uint32_t>(Numbers[0]);
   const std::uint32_t Seeds =
       Numbers[1] == 0 ? 1 : static_cast<std::uint32_t>(Numbers[1]);
-  if (Numbers[2] > 0)
-    Options.m_FaultCount = Numbers[2];
-  if (Numbers[3] > 0)
-    Options.m_VmCount = Numbers[3];
-  std::uint32_t Passed = 0;
-  for (std::uint32_t Seed = First; Seed < First + Seeds; ++Seed) {
-    Options.m_Seed = Seed;
-    SoakRun Run(Options);
-    const auto Failures = Run.run();
-    fmt::print("seed {}: {}{}\n", Seed, Failures.empty() ? "ok" : "FAILED",
-               Run.summary());
-    for (const std::string &Each : Failures)
-      fmt::print("  {}\n", Each);
-    std::fflush(stdout);
-    Passed += Failures.empty() ? 1 : 0;
+  if (Numbers[2] > 0) {
+    Soak.m_FaultCount = Numbers[2];
+    Deployment.m_Length = std::chrono::seconds(Numbers[2]);
   }
-  fmt::print("{} passed, {} failed\n", Passed, Seeds - Passed);
-  return Passed == Seeds ? 0 : 1;
+  if (Numbers[3] > 0)
+    Soak.m_VmCount = Deployment.m_VmCount = Numbers[3];
+  return PlaysDeployment ? playSeeds<DeploymentRun>(Deployment, First, Seeds)
+                         : playSeeds<SoakRun>(Soak, First, Seeds);
 }
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -262,11 +262,31 @@
   ++m_RequestCounts["watch " + Kind];
   if (Kind == m_UnansweredWatchKind)
     return;
-  const Watch Pending{Kind, std::stoull(Request.m_Query.at("watch")), Reply};
+  const Watch Pending{Kind, std::stoull(Request.m_Query.at("watch")), Reply,
+                      ++m_WatchCount};
   if (Pending.m_AfterRevision < m_CompactedRevision)
     Reply.send(410, "{}");
   else if (m_SuppressesWatchEvents || !answerWatch(Pending))
     m_Watches.push_back(Pending);
+  const auto Wait = Request.m_Query.find("wait_ms");
+  if (Wait != Request.m_Query.end())
+    QTimer::singleShot(std::chrono::milliseconds(std::stoi(Wait->second)),
+                       &m_Context,
+                       [this, Number = m_WatchCount] { endWatch(Number); });
+}
+
+void StoreStandin::endWatch(std::uint64_t Number) {
+  const auto Found =
+      std::find_if(m_Watches.begin(), m_Watches.end(),
+                   [&](const Watch &Each) { return Each.m_Number == Number; });
+  if (Found == m_Watches.end())
+    return;
+  const SimpleHttpResponder Reply = Found->m_Reply;
+  m_Watches.erase(Found);
+  if (!m_IsDown)
+    sendObjects({{"events", QJsonArray{}},
+                 {"current_rev", static_cast<qint64>(m_Revision)}},
+                Reply);
 }
 
 bool StoreStandin::answerWatch(const Watch &Pending) {
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -122,6 +122,7 @@
     std::string m_Kind;
     std::uint64_t m_AfterRevision;
     SimpleHttpResponder m_Reply;
+    std::uint64_t m_Number;
   };
 
   void handle(const SimpleHttpRequest &Request, SimpleHttpResponder Reply);
@@ -132,6 +133,8 @@
   void write(const std::string &Kind, std::string Name,
              const SimpleHttpRequest &Request, SimpleHttpResponder Reply);
   bool answerWatch(const Watch &Pending);
+  /** Answers a watch that has waited for as long as it asked to. */
+  void endWatch(std::uint64_t Number);
   void sendObjects(const QJsonObject &Body, SimpleHttpResponder Reply) const;
   void recordChange(const std::string &Kind, const QJsonObject &Object,
                     bool Removed);
@@ -142,6 +145,8 @@
   std::vector<std::string> m_RawSpecs; ///< By number in their placeholders.
   std::vector<Change> m_History;
   std::list<Watch> m_Watches;
+  std::uint64_t m_WatchCount = 0;
+  QObject m_Context;
   SimpleHttpServer m_Server;
 };
 
--- a/test/support/RoutedFleet.h
+++ b/test/support/RoutedFleet.h
@@ -51,6 +51,8 @@
     std::uint16_t m_DirectoryPort = 0;
     std::uint16_t m_ControlPort = 0;
     std::uint32_t m_Ipv4Address = INADDR_LOOPBACK; ///< Unique per VM.
+    std::string m_StoreAddress;                    ///< Its own proxy, if any.
+    std::string m_DataCentre = "dc-a";
     std::unique_ptr<Process> m_Process;
   };
 
@@ -98,14 +100,15 @@
   Vm &startVm(bool WaitUntilReady = true) {
     const std::vector<std::uint16_t> Ports = freePorts(4);
     const auto Index = static_cast<std::uint32_t>(m_Vms.size());
-    m_Vms.push_back(
-        std::make_unique<Vm>(Vm{.m_Name = fmt::format("vm-{}", Index + 1),
-                                .m_CallerPort = Ports[0],
-                                .m_ReadinessPort = Ports[1],
-                                .m_DirectoryPort = Ports[2],
-                                .m_ControlPort = Ports[3],
-                                .m_Ipv4Address = m_FirstIpv4Address + Index,
-                                .m_Process = nullptr}));
+    m_Vms.push_back(std::make_unique<Vm>(
+        Vm{.m_Name = fmt::format("vm-{}", Index + 1),
+           .m_CallerPort = Ports[0],
+           .m_ReadinessPort = Ports[1],
+           .m_DirectoryPort = Ports[2],
+           .m_ControlPort = Ports[3],
+           .m_Ipv4Address = m_FirstIpv4Address + Index,
+           .m_DataCentre = m_DataCentres[Index % m_DataCentres.size()],
+           .m_Process = nullptr}));
     Vm &Started = *m_Vms.back();
     launch(Started, WaitUntilReady);
     return Started;
@@ -116,9 +119,9 @@
   void launch(Vm &Started, bool WaitUntilReady = true) {
     const std::string File =
         m_Folder.filePath(QString::fromStdString(Started.m_Name)).toStdString();
-    writeSettings(Started, File);
-    Started.m_Process = std::make_unique<Process>(std::vector<std::string>{
-        FIGTURN_BINARY, "serve", "--settings=" + File});
+    writeSettings(Started, File, m_GraceSeconds);
+    Started.m_Process = std::make_unique<Process>(
+        std::vector<std::string>{m_Binary, "serve", "--settings=" + File});
     if (WaitUntilReady && !Started.m_Process->waitForLine("F0102")) {
       const auto Lines = Started.m_Process->lines();
       throw std::runtime_error(
@@ -143,19 +146,24 @@
     Output.write(QByteArray::fromStdString(toCompactJson(
         {{"door", "routed"},
          {"vm", toQt(ConfiguredVm.m_Name)},
-         {"dataCentre", "dc-a"},
+         {"dataCentre", toQt(ConfiguredVm.m_DataCentre)},
          {"callerAddress", Address(ConfiguredVm.m_CallerPort)},
          {"readinessAddress", Address(ConfiguredVm.m_ReadinessPort)},
          {"directoryAddress", Address(ConfiguredVm.m_DirectoryPort)},
          {"controlAddress", Address(ConfiguredVm.m_ControlPort)},
          {"gossipAddress", Address(m_GossipPort)},
          {"seeds", AddressAt(m_FirstIpv4Address, m_Vms.front()->m_ControlPort)},
-         {"storeAddress",
-          toQt(m_StoreAddress.empty() ? m_Store->address() : m_StoreAddress)},
+         {"storeAddress", toQt(storeAddress(ConfiguredVm))},
          {"retrySlack", 50},
          {"graceSeconds", GraceSeconds}})));
   }
 
+  std::string storeAddress(const Vm &ConfiguredVm) const {
+    if (!ConfiguredVm.m_StoreAddress.empty())
+      return ConfiguredVm.m_StoreAddress;
+    return m_StoreAddress.empty() ? m_Store->address() : m_StoreAddress;
+  }
+
   static RoutedAnswer call(std::uint16_t Port, const std::string &Method,
                            const std::string &Target,
                            const std::string &Headers = "",
@@ -193,6 +201,9 @@
   QTemporaryDir m_Folder;
   std::unique_ptr<standin::StoreStandin> m_Store;
   std::string m_StoreAddress; ///< Proxy in front of the store, if any.
+  std::string m_Binary = FIGTURN_BINARY; ///< May be an earlier build.
+  double m_GraceSeconds = 2;
+  std::vector<std::string> m_DataCentres{"dc-a"}; ///< Of the VMs, in turn.
   std::vector<std::unique_ptr<standin::SearcherStandin>> m_Searchers;
   std::vector<std::unique_ptr<Vm>> m_Vms;
 };
