Crowd the look-ups and follow a silence with changes in the deployment run

What the operator and the targets say while open connections to the store are silent reaches no VM by them; kernel probes don't notice, as a proxy answers them. In half of the runs three targets serve all look-ups.

--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -33,6 +33,7 @@
 constexpr std::size_t TargetQueue = 24;
 constexpr std::size_t ReplicasPerShard = 3;
 constexpr std::size_t LookupTargets = 13;
+constexpr std::size_t FewLookupTargets = 3;
 constexpr int RequestsPerConnection = 40;
 constexpr milliseconds CallerInterval{260};
 constexpr milliseconds ProbeInterval{400};
@@ -112,7 +113,10 @@
   for (std::size_t I = 0; I < m_Options.m_ShardCount; ++I)
     for (std::size_t J = 0; J < ReplicasPerShard; ++J)
       addTarget(shardName(I));
-  for (std::size_t I = 0; I < LookupTargets; ++I)
+  // In half of the runs the targets of look-ups are at their limit.
+  m_IsCrowded = m_Random() % 2 == 0;
+  for (std::size_t I = 0; I < (m_IsCrowded ? FewLookupTargets : LookupTargets);
+       ++I)
     addTarget(LookupService);
   for (std::size_t I = 0; I < m_Options.m_VmCount; ++I)
     startVm();
@@ -392,8 +396,9 @@
                      Server->m_Process->m_Ipv4Address);
     bool IsUsable = Client.hasConnected();
     for (int I = 0; IsUsable && I < RequestsPerConnection && !m_Stopping; ++I) {
-      const RequestForm &Form =
-          Forms[std::array{0, 0, 0, 0, 0, 0, 1, 1, 2, 3}[Random() % 10]];
+      const auto Mix = m_IsCrowded ? std::array{0, 0, 0, 1, 2, 2, 2, 2, 2, 3}
+                                   : std::array{0, 0, 0, 0, 0, 0, 1, 1, 2, 3};
+      const RequestForm &Form = Forms[Mix[Random() % Mix.size()]];
       std::string Body;
       if (std::string_view(Form.m_Kind) == "unsafe") {
         const std::lock_guard Lock(m_Mutex);
@@ -718,8 +723,12 @@
 
 void DeploymentRun::silenceStoreConnections() {
   disruptStore(milliseconds(1), [this](bool IsDisrupted) {
-    if (IsDisrupted)
-      forEachProxy([](FaultProxy &Each) { Each.silenceOpenConnections(); });
+    if (!IsDisrupted)
+      return;
+    forEachProxy([](FaultProxy &Each) { Each.silenceOpenConnections(); });
+    // What the operator and the targets say now reaches no VM by these.
+    after(randomTime(0, 1500), [this] { addRoute(); });
+    after(randomTime(4000, 5000), [this] { drainTarget(); });
   });
 }
 
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -147,6 +147,7 @@
   std::vector<std::unique_ptr<Vm>> m_Vms;
   std::vector<std::unique_ptr<Target>> m_Targets;
   std::size_t m_TargetsCreated = 0;
+  bool m_IsCrowded = false;
   SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
   std::multimap<SteadyTime, std::function<void()>> m_Tasks;
 
