Refuse requests beyond unknown limits as not ready, and count refusals by cause

Seen: a VM without a configuration refuses headers and bodies by its built-in limits, with 431 and 413, which tell callers never to send them again. Class: a VM that can't know answers as if it knew. The server now asks whether its limits are known; if not, such a request gets 503 with Retry-After.

HttpRequestReader now tells which of eight defects it found; the line F0701 (info) and the counter name it.

Requests_refusedUnread_areCountedByStatusAndCause guards the counter.

--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <utility>
 
 namespace figturn {
@@ -55,21 +56,30 @@
   return Headers;
 }
 
-unsigned statusForParseError(beast::error_code Error) {
-  if (Error == http::error::header_limit)
-    return 431;
-  if (Error == http::error::body_limit)
-    return 413;
-  return 400;
+RequestDefect defectOfParseError(beast::error_code Error) {
+  static const std::map<http::error, RequestDefect> Defects{
+      {http::error::header_limit, RequestDefect::HeaderTooLarge},
+      {http::error::body_limit, RequestDefect::BodyTooLarge},
+      {http::error::bad_method, RequestDefect::BadRequestLine},
+      {http::error::bad_target, RequestDefect::BadRequestLine},
+      {http::error::bad_version, RequestDefect::BadRequestLine},
+      {http::error::bad_content_length, RequestDefect::BadBodyLength},
+      {http::error::bad_transfer_encoding, RequestDefect::BadBodyLength},
+      {http::error::bad_chunk, RequestDefect::BadChunk},
+      {http::error::bad_chunk_extension, RequestDefect::BadChunk}};
+  for (const auto &[Each, Defect] : Defects)
+    if (Error == Each)
+      return Defect;
+  return RequestDefect::BadHeader;
 }
 
-/** Status with which to refuse a request whose body can't be delimited or
- *  decoded because of its transfer codings (RFC 9112, sections 6.1 and 6.3); 0
- *  if it can. The parser takes such a request for one without a body. */
-unsigned statusForTransferCodings(const http::fields &Fields) {
+/** Whether the body of a request can be delimited and decoded by its transfer
+ *  codings (RFC 9112, sections 6.1 and 6.3). The parser takes a request for
+ *  which it can't for one without a body. */
+RequestDefect defectOfTransferCodings(const http::fields &Fields) {
   const auto [Begin, End] = Fields.equal_range(http::field::transfer_encoding);
   if (Begin == End)
-    return 0;
+    return RequestDefect::None;
   std::size_t Count = 0;
   bool IsChunkedLast = false;
   for (auto Field = Begin; Field != End; ++Field)
@@ -78,8 +88,8 @@
       IsChunkedLast = beast::iequals(Coding, "chunked");
     }
   if (!IsChunkedLast)
-    return 400;
-  return Count == 1 ? 0 : 501;
+    return RequestDefect::BadBodyLength;
+  return Count == 1 ? RequestDefect::None : RequestDefect::UnknownCoding;
 }
 
 /** Replaces line breaks in a header field, to prevent header injection. */
@@ -128,6 +138,46 @@
 
 } // namespace
 
+std::string_view requestDefectName(RequestDefect Defect) {
+  switch (Defect) {
+  case RequestDefect::BadRequestLine:
+    return "bad-request-line";
+  case RequestDefect::BadHeader:
+    return "bad-header";
+  case RequestDefect::BadBodyLength:
+    return "bad-body-length";
+  case RequestDefect::UnknownCoding:
+    return "unknown-transfer-coding";
+  case RequestDefect::BadChunk:
+    return "bad-chunk";
+  case RequestDefect::HeaderTooLarge:
+    return "header-too-large";
+  case RequestDefect::BodyPartTooLarge:
+    return "body-part-too-large";
+  case RequestDefect::BodyTooLarge:
+    return "body-too-large";
+  case RequestDefect::None:
+    break;
+  }
+  return "none";
+}
+
+unsigned requestDefectStatus(RequestDefect Defect) {
+  switch (Defect) {
+  case RequestDefect::None:
+    return 0;
+  case RequestDefect::UnknownCoding:
+    return 501;
+  case RequestDefect::HeaderTooLarge:
+  case RequestDefect::BodyPartTooLarge:
+    return 431;
+  case RequestDefect::BodyTooLarge:
+    return 413;
+  default:
+    return 400;
+  }
+}
+
 struct HttpRequestReader::Parser {
   http::request_parser<http::string_body> m_Parser;
 };
@@ -158,14 +208,16 @@
   const std::size_t Consumed =
       feedParser(m_Parser->m_Parser, Rest, m_PartCount, Error);
   if (Error)
-    m_RefusalStatus = statusForParseError(Error);
+    m_Defect = defectOfParseError(Error);
   else if (!m_Parser->m_Parser.is_done() &&
            Rest.size() - Consumed >= m_HeaderLimit)
     // What the parser leaves is part of a header, of a chunk's first line or of
     // trailers, none of which it limits after the header.
-    m_RefusalStatus = 431;
+    m_Defect = m_Parser->m_Parser.is_header_done()
+                   ? RequestDefect::BodyPartTooLarge
+                   : RequestDefect::HeaderTooLarge;
   else if (m_Parser->m_Parser.is_header_done())
-    m_RefusalStatus = statusForTransferCodings(m_Parser->m_Parser.get());
+    m_Defect = defectOfTransferCodings(m_Parser->m_Parser.get());
   return Skipped + Consumed;
 }
 
--- a/src/transport/HttpCodec.h
+++ b/src/transport/HttpCodec.h
@@ -10,12 +10,39 @@
 #include "protocol/HttpMessage.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace figturn {
 
+/** Why a request can't be read. */
+enum class RequestDefect : std::uint8_t {
+  None,
+  BadRequestLine,
+  BadHeader,
+  BadBodyLength, ///< Content-Length or Transfer-Encoding.
+  UnknownCoding, ///< A transfer coding other than `chunked`.
+  BadChunk,
+  HeaderTooLarge,
+  BodyPartTooLarge, ///< A chunk's first line, or trailers.
+  BodyTooLarge
+};
+
+/** Name of \p Defect in logs and metrics, for example "bad-chunk". */
+std::string_view requestDefectName(RequestDefect Defect);
+
+/** Status with which to refuse a request with \p Defect; 0 for None. */
+unsigned requestDefectStatus(RequestDefect Defect);
+
+/** Whether only the limits in force make the request unreadable. */
+inline bool isLimitDefect(RequestDefect Defect) {
+  return Defect == RequestDefect::HeaderTooLarge ||
+         Defect == RequestDefect::BodyPartTooLarge ||
+         Defect == RequestDefect::BodyTooLarge;
+}
+
 /** Parses consecutive requests from a byte stream. */
 class HttpRequestReader {
 public:
@@ -39,9 +66,8 @@
   bool hasStarted() const { return m_Parser != nullptr; }
   /** Whether a complete request was parsed. */
   bool isComplete() const;
-  /** Status with which to refuse the request (400, 413, 431 or 501); 0 if the
-   *  input is valid so far. */
-  unsigned refusalStatus() const { return m_RefusalStatus; }
+  /** Why the request must be refused; None if the input is valid so far. */
+  RequestDefect defect() const { return m_Defect; }
   /** Whether the header is complete and asks for "100 Continue" before the
    *  body is sent. */
   bool wantsContinue() const;
@@ -62,7 +88,7 @@
   std::size_t m_PartCount = 0; ///< Parts of the current request.
   std::size_t m_HeaderLimit;
   std::size_t m_BodyLimit;
-  unsigned m_RefusalStatus = 0;
+  RequestDefect m_Defect = RequestDefect::None;
   std::unique_ptr<Parser> m_Parser;
 };
 
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -27,12 +27,12 @@
 /** Bytes that a request in progress takes besides its header and body. */
 constexpr std::size_t RequestOverhead = 4096;
 
-/** Refused for lack of memory. */
-constexpr unsigned StatusOverloaded = 503;
+/** Retry-After in seconds of requests refused before they were read: the
+ *  caller's deadline is usually not known, as its header is incomplete. */
+constexpr const char *UnreadRetryAfter = "0.3";
 
-/** Retry-After in seconds of requests refused for lack of memory: the caller's
- *  deadline is usually not known, as its header is incomplete. */
-constexpr const char *OverloadedRetryAfter = "0.3";
+/** Longer paths are cut in the log. */
+constexpr std::size_t MaxLoggedPath = 200;
 
 /** How long a closing connection discards input. Closing a socket with unread
  *  bytes resets it, and the caller would lose the answer in transit. */
@@ -43,34 +43,57 @@
   HttpConnection *m_Connection = nullptr; ///< Accessed by its worker only.
 };
 
-const char *refusalReason(unsigned Status) {
-  switch (Status) {
-  case 408:
-    return "header-timeout";
-  case 413:
-    return "body-too-large";
-  case StatusOverloaded:
-    return "overloaded";
-  default:
-    return "bad-request";
-  }
-}
+} // namespace
 
-const char *refusalMessage(unsigned Status) {
+/** How a request is refused that wasn't read completely. */
+struct HttpConnection::ReadRefusal {
+  unsigned m_Status;
+  const char *m_Reason; ///< In the answer.
+  const char *m_Message;
+  const char *m_RetryAfterSeconds = nullptr;
+};
+
+namespace {
+
+using ReadRefusal = HttpConnection::ReadRefusal;
+
+constexpr ReadRefusal HeaderTimeout{
+    .m_Status = 408,
+    .m_Reason = "header-timeout",
+    .m_Message =
+        "The request was not received in time; send it again in full."};
+constexpr ReadRefusal Overloaded{
+    .m_Status = 503,
+    .m_Reason = "overloaded",
+    .m_Message = "The VM has no memory left for this request, which was not "
+                 "processed; send it again later.",
+    .m_RetryAfterSeconds = UnreadRetryAfter};
+constexpr ReadRefusal LimitsUnknown{
+    .m_Status = 503,
+    .m_Reason = "not-ready",
+    .m_Message = "The VM doesn't know whether the limits in force allow this "
+                 "request, which was not processed; send it again later.",
+    .m_RetryAfterSeconds = UnreadRetryAfter};
+
+ReadRefusal refusalFor(RequestDefect Defect) {
+  const unsigned Status = requestDefectStatus(Defect);
   switch (Status) {
-  case 408:
-    return "The request was not received in time; send it again in full.";
   case 413:
-    return "The request body exceeds the size limit; send a smaller one.";
+    return {.m_Status = Status,
+            .m_Reason = "body-too-large",
+            .m_Message =
+                "The request body exceeds the size limit; send a smaller one."};
   case 431:
-    return "The request header exceeds the size limit; send fewer or shorter "
-           "fields.";
-  case StatusOverloaded:
-    return "The VM has no memory left for this request, which was not "
-           "processed; send it again later.";
+    return {.m_Status = Status,
+            .m_Reason = "bad-request",
+            .m_Message = "The request header exceeds the size limit; send "
+                         "fewer or shorter fields."};
   default:
-    return "The input is not a valid HTTP/1.1 request; check the request "
-           "line, the header fields and the body length.";
+    return {.m_Status = Status,
+            .m_Reason = "bad-request",
+            .m_Message = "The input is not a valid HTTP/1.1 request; check the "
+                         "request line, the header fields and the body "
+                         "length."};
   }
 }
 
@@ -257,8 +280,8 @@
     if (m_Input.empty() && m_Input.capacity() > MaxIdleCapacity)
       m_Input = std::string();
     m_RequestStarted = m_Reader.hasStarted();
-    if (m_Reader.refusalStatus() != 0)
-      refuseRequest(m_Reader.refusalStatus());
+    if (m_Reader.defect() != RequestDefect::None)
+      refuseUnreadable(m_Reader.defect());
     else if (m_Reader.isComplete())
       dispatchRequest();
     if (Consumed == 0)
@@ -283,7 +306,8 @@
       std::make_shared<Exchange>(this, Number, std::move(Request));
   if (!Pipelined.m_Exchange->reserveMemory(
           heldBytes(Pipelined.m_Exchange->request()) + RequestOverhead)) {
-    refuseRequest(StatusOverloaded, Pipelined.m_Exchange->request().m_Target);
+    refuseRequest(Overloaded, Overloaded.m_Reason,
+                  Pipelined.m_Exchange->request().m_Target);
     m_Pipeline.back().m_Framing.m_OmitBody = Pipelined.m_Framing.m_OmitBody;
     return;
   }
@@ -293,13 +317,29 @@
   m_State->m_Handler(std::move(Handled));
 }
 
-void HttpConnection::refuseRequest(unsigned Status) {
-  refuseRequest(Status, m_Reader.target());
+void HttpConnection::refuseUnreadable(RequestDefect Defect) {
+  const bool IsLimitUnknown =
+      isLimitDefect(Defect) &&
+      !m_State->m_Options.m_AreLimitsKnown(Clock::now());
+  refuseRequest(IsLimitUnknown ? LimitsUnknown : refusalFor(Defect),
+                requestDefectName(Defect), m_Reader.target());
+}
+
+void HttpConnection::refuseRequest(const ReadRefusal &Refusal) {
+  refuseRequest(Refusal, Refusal.m_Reason, m_Reader.target());
 }
 
-void HttpConnection::refuseRequest(unsigned Status, std::string_view Target) {
-  logEvent(Event::RequestRefusedUnread, "status={} reason={}", Status,
-           refusalReason(Status));
+void HttpConnection::refuseRequest(const ReadRefusal &Refusal,
+                                   std::string_view Cause,
+                                   std::string_view Target) {
+  m_State->countRefusal(Refusal.m_Status, Cause);
+  logEvent(Event::RequestRefusedUnread,
+           "status={} reason={} cause={} path={} client={} header_limit={} "
+           "body_limit={}",
+           Refusal.m_Status, Refusal.m_Reason, Cause,
+           Target.substr(0, std::min(Target.find('?'), MaxLoggedPath)),
+           m_Client, m_State->m_Options.m_HeaderLimit,
+           m_State->m_Options.m_BodyLimit);
   m_StopReading = true;
   m_RequestStarted = false;
   m_Input = std::string();
@@ -308,24 +348,24 @@
   PipelinedRequest Pipelined;
   Pipelined.m_Exchange =
       std::make_shared<Exchange>(this, Number, HttpRequest{});
-  Pipelined.m_Answer = refusal(Status, Target);
+  Pipelined.m_Answer = answerFor(Refusal, Target);
   m_Reader.discard();
   m_Pipeline.push_back(std::move(Pipelined));
   ++m_State->m_PendingRequests;
 }
 
-HttpResponse HttpConnection::refusal(unsigned Status,
-                                     std::string_view Target) const {
-  HttpResponse Refused{.m_Status = Status, .m_CloseConnection = true};
+HttpResponse HttpConnection::answerFor(const ReadRefusal &Refusal,
+                                       std::string_view Target) const {
+  HttpResponse Refused{.m_Status = Refusal.m_Status, .m_CloseConnection = true};
   const char *Verdict = "not-run";
-  if (Status == StatusOverloaded) {
-    Refused.m_Headers.emplace_back("Retry-After", OverloadedRetryAfter);
+  if (Refusal.m_RetryAfterSeconds) {
+    Refused.m_Headers.emplace_back("Retry-After", Refusal.m_RetryAfterSeconds);
     if (m_State->m_Options.m_MayHaveRunBefore(Target))
       Verdict = "may-have-run";
   }
   Refused.m_Body = fmt::format(
       R"({{"requestId":"","verdict":"{}","reason":"{}","message":"{}"}})",
-      Verdict, refusalReason(Status), refusalMessage(Status));
+      Verdict, Refusal.m_Reason, Refusal.m_Message);
   return Refused;
 }
 
@@ -412,7 +452,7 @@
   } else if (requestBytes() > 0) {
     // The input may also belong to requests that wait for the answers to
     // earlier ones.
-    refuseRequest(StatusOverloaded);
+    refuseRequest(Overloaded);
     writeAnswers();
   }
   if (m_Closed)
@@ -429,7 +469,7 @@
   if (IsIdle && hasUnparsedBytes())
     return EvictionResult::InUse;
   if (m_RequestStarted) {
-    refuseRequest(StatusOverloaded);
+    refuseRequest(Overloaded);
     writeAnswers();
   }
   closeNow();
@@ -535,7 +575,7 @@
     closeNow();
     return;
   }
-  refuseRequest(408);
+  refuseRequest(HeaderTimeout);
   writeAnswers();
   updateUse();
 }
--- a/src/transport/HttpConnection.h
+++ b/src/transport/HttpConnection.h
@@ -44,6 +44,8 @@
    *  connection. */
   void setAnswer(std::uint64_t Request, HttpResponse Response);
 
+  struct ReadRefusal;
+
 private:
   class Exchange;
 
@@ -60,9 +62,14 @@
   bool canReadMore() const;
   bool hasUnparsedBytes() const;
   void dispatchRequest();
-  void refuseRequest(unsigned Status);
-  void refuseRequest(unsigned Status, std::string_view Target);
-  HttpResponse refusal(unsigned Status, std::string_view Target) const;
+  void refuseUnreadable(RequestDefect Defect);
+  void refuseRequest(const ReadRefusal &Refusal);
+  /** \p Cause is logged and counted; it may be narrower than the reason that
+   *  the caller gets. */
+  void refuseRequest(const ReadRefusal &Refusal, std::string_view Cause,
+                     std::string_view Target);
+  HttpResponse answerFor(const ReadRefusal &Refusal,
+                         std::string_view Target) const;
   void updateUse();
   /** Counts whether a request is partly received. */
   void countIncompleteRequest();
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -323,6 +323,10 @@
   return m_Impl->m_State->m_PendingRequests;
 }
 
+RefusalCounts HttpServer::refusalCounts() const {
+  return m_Impl->m_State->refusalCounts();
+}
+
 std::size_t HttpServer::unfinishedRequests() const {
   // A request counts as pending before it ceases to count as incomplete.
   const std::size_t Incomplete = m_Impl->m_State->m_IncompleteRequests;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -16,10 +16,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
 namespace figturn {
 
@@ -69,6 +71,12 @@
   /** Between accepting a connection, or an answer, and the first byte of the
    *  next request. */
   milliseconds m_IdleTimeout{60000};
+  /** Whether the limits of headers and bodies are known to be those in force.
+   *  If not, a request that exceeds them is refused with 503, as it may be
+   *  allowed. */
+  std::function<bool(TimePoint Now)> m_AreLimitsKnown = [](TimePoint) {
+    return true;
+  };
   /** Whether a request to the target, which is empty if it isn't known yet, may
    *  have been run by an earlier attempt. Refusals for lack of memory then
    * don't state "not-run". */
@@ -76,6 +84,9 @@
       [](std::string_view) { return false; };
 };
 
+/** Numbers of refused requests, by status and reason. */
+using RefusalCounts = std::map<std::pair<unsigned, std::string>, std::uint64_t>;
+
 /** Limits that can change while a server runs. They apply to connections
  *  accepted and requests started afterwards. */
 struct HttpServerLimits {
@@ -114,6 +125,9 @@
    *  answered. */
   std::size_t unfinishedRequests() const;
   std::size_t connections() const;
+  /** Numbers of requests that were refused before they were read completely, by
+   *  status and reason. */
+  RefusalCounts refusalCounts() const;
 
 private:
   class Impl;
--- a/src/transport/HttpServerState.cpp
+++ b/src/transport/HttpServerState.cpp
@@ -33,4 +33,14 @@
   return m_Workers && m_Workers->currentWorker() == Index;
 }
 
+void HttpServerState::countRefusal(unsigned Status, std::string_view Reason) {
+  const std::unique_lock Lock(m_Mutex);
+  ++m_Refusals[{Status, std::string(Reason)}];
+}
+
+RefusalCounts HttpServerState::refusalCounts() const {
+  const std::shared_lock Lock(m_Mutex);
+  return m_Refusals;
+}
+
 } // namespace figturn
--- a/src/transport/HttpServerState.h
+++ b/src/transport/HttpServerState.h
@@ -35,6 +35,9 @@
   /** Whether the calling thread is worker \p Index. */
   bool isOnWorker(std::size_t Index) const;
 
+  void countRefusal(unsigned Status, std::string_view Reason);
+  RefusalCounts refusalCounts() const;
+
   HttpServerOptions m_Options;
   std::shared_ptr<CallerConnections> m_Connections; ///< Never null.
   HttpHandler m_Handler;
@@ -46,8 +49,9 @@
   std::vector<std::unordered_set<HttpConnection *>> m_ConnectionsByWorker;
 
 private:
-  mutable std::shared_mutex m_Mutex; ///< Guards m_Workers.
+  mutable std::shared_mutex m_Mutex; ///< Guards the members below.
   WorkerPool *m_Workers;
+  RefusalCounts m_Refusals;
 };
 
 } // namespace figturn
--- a/test/correctness/HttpServerTest.cpp
+++ b/test/correctness/HttpServerTest.cpp
@@ -1,6 +1,7 @@
 #include "support/Crowd.h"
 #include "support/HttpServerFixture.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 
 #include <future>
@@ -541,4 +542,52 @@
   BOOST_TEST(Client.isClosedByServer());
 }
 
+// A VM without a configuration refused requests by its built-in limits.
+BOOST_AUTO_TEST_CASE(Limits_notKnown_refuseUntilTheyAre) {
+  std::atomic<bool> AreKnown = false;
+  start({.m_HeaderLimit = 1000,
+         .m_BodyLimit = 1000,
+         .m_AreLimitsKnown = [&](TimePoint) { return AreKnown.load(); }});
+  const auto Send = [&](const std::string &Bytes) {
+    RawClient Client(port());
+    Client.send(Bytes);
+    return Client.receive().value();
+  };
+  const std::string LongBody = serializePost("/", std::string(1001, 'x'));
+  const std::string LongHeader =
+      "GET / HTTP/1.1\r\nX-Long: " + std::string(1000, 'x');
+  for (const std::string &Each : {LongBody, LongHeader}) {
+    const HttpReply Reply = Send(Each);
+    BOOST_TEST(Reply.m_Status == 503U);
+    BOOST_TEST(!Reply.header("Retry-After").empty());
+    BOOST_TEST(Reply.m_Body.find("\"not-ready\"") != std::string::npos);
+  }
+  BOOST_TEST(Send("GET /\r\n\r\n").m_Status == 400U);
+  AreKnown = true;
+  BOOST_TEST(Send(LongBody).m_Status == 413U);
+  BOOST_TEST(Send(LongHeader).m_Status == 431U);
+}
+
+BOOST_AUTO_TEST_CASE(Requests_refusedUnread_areCountedByStatusAndCause) {
+  start({.m_HeaderLimit = 1000, .m_BodyLimit = 1000});
+  const auto Send = [&](const std::string &Bytes) {
+    RawClient Client(port());
+    Client.send(Bytes);
+    Client.receive();
+  };
+  Send("GET /\r\n\r\n");
+  Send("GET / HTTP/1.1\r\nNo colon\r\n\r\n");
+  Send("POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n");
+  Send("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n");
+  Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+  Send("GET / HTTP/1.1\r\nX-Long: " + std::string(1000, 'x'));
+  Send(serializePost("/", std::string(1001, 'x')));
+  const RefusalCounts Expected{
+      {{400, "bad-request-line"}, 1}, {{400, "bad-header"}, 1},
+      {{400, "bad-body-length"}, 1},  {{501, "unknown-transfer-coding"}, 1},
+      {{400, "bad-chunk"}, 1},        {{431, "header-too-large"}, 1},
+      {{413, "body-too-large"}, 1}};
+  BOOST_TEST((server().refusalCounts() == Expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/RoutedFuzzTest.cpp
+++ b/test/correctness/RoutedFuzzTest.cpp
@@ -100,12 +100,12 @@
        [this](std::string Bytes) {
          HttpRequestReader Reader(4096, 4096);
          std::string Pending; // Unconsumed bytes are fed again.
-         while (!Bytes.empty() && Reader.refusalStatus() == 0) {
+         while (!Bytes.empty() && Reader.defect() == RequestDefect::None) {
            const std::size_t Step = 1 + m_Random() % Bytes.size();
            Pending += Bytes.substr(0, Step);
            Bytes.erase(0, Step);
            std::size_t Used = 1;
-           while (Used > 0 && Reader.refusalStatus() == 0) {
+           while (Used > 0 && Reader.defect() == RequestDefect::None) {
              Used = Reader.feed(Pending);
              Pending.erase(0, Used);
              if (Reader.isComplete())
@@ -127,7 +127,7 @@
     Pending.erase(0, Reader.feed(Pending));
   }
   BOOST_TEST(Reader.isComplete());
-  BOOST_TEST(Reader.refusalStatus() == 0U);
+  BOOST_TEST(requestDefectStatus(Reader.defect()) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(Replies_malformed_areParsedOrFail) {
