Deny no request by a configuration that isn't proven to be the newest

Seen by callers: 404 on a route that has been due for up to three seconds, at VMs in touch, after the open connections to the store had gone silent.

Cause: a VM counted as current as long as no call had failed, and a pending watch can't fail for up to 6 s (27 s on other VMs than sentinels, if no peer knows more). The kernel's probes don't help when a proxy answers them. A VM that took over from a sentinel kept its watch of 25 s. A newest configuration that a VM can't use left it answering 404 by the one before. Class: a VM that can't know answers as if it knew.

Fix: a 404 (and 413, 431) needs proof by an answered call, or by peers of which one reaches the store; without it the request gets 503.

StateSynchronizerTest Watch_ofSentinelLost- ByStore_isDetectedSoon assumed that becoming a sentinel renews no watch; it now waits for the renewed one before it loses the next, and checks the same.

--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -351,6 +351,12 @@
   return Reaching.empty() ? All : Reaching;
 }
 
+bool FleetView::isStoreReachedByPeer(TimePoint Now) const {
+  return std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Entry) {
+    return isAlive(Entry.second, Now) && Entry.second.m_Record.m_CanReachStore;
+  });
+}
+
 std::vector<VmRecord> FleetView::alivePeers(TimePoint Now) const {
   std::vector<VmRecord> Records;
   for (const auto &[Name, Each] : m_Peers)
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -184,6 +184,8 @@
   /** This VM's part, from 0 to 1, of the CPU capacity of quotaMembers(); an
    *  equal part if a capacity is unknown. */
   double capacityShare(TimePoint Now) const;
+  /** Whether a live peer reaches the platform's store. */
+  bool isStoreReachedByPeer(TimePoint Now) const;
   /** Live VMs that can reach the platform's store, including this one; all live
    *  VMs if none can reach it. */
   std::vector<VmName> storeReaders(TimePoint Now) const;
--- a/src/coordination/FreshnessTracker.cpp
+++ b/src/coordination/FreshnessTracker.cpp
@@ -10,14 +10,16 @@
 void FreshnessTracker::onListed() {
   // A newer copy that was imported meanwhile may have been overwritten.
   if (const auto SentAt = std::exchange(m_ListingSentAt, std::nullopt))
-    m_FreshAt = *SentAt;
+    m_FreshAt = m_ProvenAt = *SentAt;
 }
 
 void FreshnessTracker::onWatchSent(TimePoint Now) { m_WatchSentAt = Now; }
 
 void FreshnessTracker::onWatchReply() {
-  if (m_WatchSentAt)
+  if (m_WatchSentAt) {
     raiseTo(*m_WatchSentAt);
+    m_ProvenAt = std::max(m_ProvenAt, *m_WatchSentAt);
+  }
   onWatchEnded();
 }
 
@@ -35,8 +37,10 @@
 
 void FreshnessTracker::onFleetAgrees(TimePoint Now) {
   // After a pause, the messages that arrived in it are read first.
-  if (Now - m_RunningSince >= 2 * m_Options.m_SpreadTime)
-    raiseTo(Now - m_Options.m_SpreadTime);
+  if (Now - m_RunningSince < 2 * m_Options.m_SpreadTime)
+    return;
+  raiseTo(Now - m_Options.m_SpreadTime);
+  m_ProvenAt = std::max(m_ProvenAt, Now - m_Options.m_SpreadTime);
 }
 
 void FreshnessTracker::onTick(TimePoint Now) {
--- a/src/coordination/FreshnessTracker.h
+++ b/src/coordination/FreshnessTracker.h
@@ -51,6 +51,10 @@
 
   /** The present freshness; the epoch if there is no state yet. */
   TimePoint freshAt() const;
+  /** A time at which the copy was shown to be complete. Unlike freshAt(), it
+   *  relies neither on a pending watch, whose connection may be silent, nor on
+   *  failed calls. */
+  TimePoint provenAt() const { return m_ProvenAt; }
 
 private:
   void raiseTo(TimePoint FreshAt);
@@ -58,6 +62,7 @@
 
   FreshnessOptions m_Options;
   TimePoint m_FreshAt;
+  TimePoint m_ProvenAt;
   TimePoint m_LastTickAt;
   TimePoint m_RunningSince; ///< Start, or end of the last pause.
   std::optional<TimePoint> m_ListingSentAt;
--- a/src/coordination/WatcherElection.h
+++ b/src/coordination/WatcherElection.h
@@ -40,7 +40,7 @@
    *  watcher is enough, and this many are unlikely to fail within the same
    *  seconds. */
   std::size_t m_WatcherCount = 12;
-  std::size_t m_SentinelCount = 4;
+  std::size_t m_SentinelCount = 3;
 };
 
 /** The role of \p Self. \p EligibleVms are the running VMs that reach the
--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -66,6 +66,15 @@
   }
 };
 
+/** What this VM's peers tell of the state that it holds. */
+struct FleetAgreement {
+  /** Peers are heard, and none has a newer registry. */
+  bool m_OnRegistry = false;
+  /** A peer that reaches the platform is heard, and none has a newer
+   *  configuration. */
+  bool m_OnConfig = false;
+};
+
 /** Connection to a platform. Confined to the VM's worker. */
 class PlatformAdapter {
 public:
@@ -82,6 +91,10 @@
   virtual void refreshVms() = 0;
   /** Whether configuration and registry are up to date with the platform. */
   virtual bool isCurrent() const = 0;
+  /** Whether the configuration in force is shown to have been the newest one
+   *  within the time in which a change has to take effect. If not, a request
+   *  that it doesn't allow may be allowed by a newer one. */
+  virtual bool isConfigProven(TimePoint Now) const = 0;
   /** Version of the state held, whether read or imported. */
   virtual StateVersion stateVersion() const = 0;
   /** Reads \p Part from the platform, whether this VM watches it or not. */
@@ -95,9 +108,8 @@
    *  VM's. */
   virtual void importState(const std::string &State,
                            const CopyTimes &Times) = 0;
-  /** Called periodically. \p FleetAgrees tells that other VMs are heard, and
-   *  none has a newer registry than this VM. */
-  virtual void onTick(bool FleetAgrees, TimePoint Now) = 0;
+  /** Called periodically. */
+  virtual void onTick(const FleetAgreement &Agreement, TimePoint Now) = 0;
   virtual const PlatformCounters &counters() const = 0;
 };
 
--- a/src/node/RoutedFrontend.cpp
+++ b/src/node/RoutedFrontend.cpp
@@ -29,7 +29,7 @@
       Config->match(Request.m_Host, Exchange->request().m_Path);
   if (!MatchedRoute) {
     // The route may exist in a newer configuration that has not arrived yet.
-    const bool IsConfigCurrent = m_IsCurrent();
+    const bool IsConfigCurrent = m_IsConfigProven(Now);
     refuse(Exchange, Request,
            IsConfigCurrent ? Errc::UnknownRoute : Errc::NotReady,
            IsConfigCurrent
@@ -77,18 +77,19 @@
                             Duration Remaining) {
   const auto RetryAfter =
       m_Context.retryAfterPolicy().retryAfter(Reason, Remaining);
-  m_Context.metrics().addRefusal("none", Reason);
+  HttpResponse Response =
+      refusalResponse({.m_Verdict = RunVerdict::NotRun,
+                       .m_Reason = Reason,
+                       .m_Message = std::string(Message)},
+                      Request.m_Id, RetryAfter, m_Context.headers());
+  m_Context.metrics().addUnrouted(Response.m_Status, Reason);
   logEvent(Event::RequestNotRouted,
-           "id={} host={} path={} reason={} config={} retry_ms={}",
+           "id={} host={} path={} status={} reason={} config={} retry_ms={}",
            Request.m_Id, Request.m_Host, Exchange->request().m_Path,
-           Reason.message(),
+           Response.m_Status, Reason.message(),
            m_Context.config() ? m_Context.config()->version().value() : 0,
            RetryAfter ? RetryAfter->count() : 0);
-  Exchange->respond(refusalResponse({.m_Verdict = RunVerdict::NotRun,
-                                     .m_Reason = Reason,
-                                     .m_Message = std::string(Message)},
-                                    Request.m_Id, RetryAfter,
-                                    m_Context.headers()));
+  Exchange->respond(std::move(Response));
 }
 
 } // namespace figturn
--- a/src/node/RoutedFrontend.h
+++ b/src/node/RoutedFrontend.h
@@ -16,10 +16,11 @@
 /** Handles callers' requests on one worker. */
 class RoutedFrontend {
 public:
-  /** \p IsCurrent returns whether the configuration is up to date with the
-   *  platform. */
-  RoutedFrontend(RoutedContext &Context, std::function<bool()> IsCurrent)
-      : m_Context(Context), m_IsCurrent(std::move(IsCurrent)) {}
+  /** Whether the configuration is known to be the newest one. */
+  using ConfigCheck = std::function<bool(TimePoint Now)>;
+
+  RoutedFrontend(RoutedContext &Context, ConfigCheck IsConfigProven)
+      : m_Context(Context), m_IsConfigProven(std::move(IsConfigProven)) {}
 
   void handle(const HttpExchangePtr &Exchange);
 
@@ -29,7 +30,7 @@
               Duration Remaining);
 
   RoutedContext &m_Context;
-  std::function<bool()> m_IsCurrent;
+  ConfigCheck m_IsConfigProven;
 };
 
 } // namespace figturn
--- a/src/node/RoutedMetrics.cpp
+++ b/src/node/RoutedMetrics.cpp
@@ -70,6 +70,11 @@
   ++m_Routes[Route].m_Refusals[Reason.message()];
 }
 
+void RoutedMetrics::addUnrouted(unsigned Status, std::error_code Reason) {
+  addRefusal("none", Reason);
+  ++m_Unrouted[{Status, Reason.message()}];
+}
+
 void RoutedMetrics::addExtraCall(const ServiceName &Service, SendKind Kind,
                                  bool Allowed) {
   CallCounters &Counters = m_Calls[Service];
@@ -104,6 +109,10 @@
           Count);
     Text += Route.m_Latency.text("figturn_answer_seconds", Labels);
   }
+  for (const auto &[Key, Count] : m_Unrouted)
+    Add("unrouted_requests_total",
+        fmt::format("status=\"{}\",reason=\"{}\"", Key.first, Key.second),
+        Count);
   for (const auto &[Name, Calls] : m_Calls) {
     const std::string Labels = fmt::format("service=\"{}\"", Name);
     Add("calls_total", Labels, Calls.m_Calls);
--- a/src/node/RoutedMetrics.h
+++ b/src/node/RoutedMetrics.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <string>
 #include <system_error>
+#include <utility>
 
 namespace figturn {
 
@@ -64,6 +65,8 @@
   void addAnswer(const std::string &Route, Duration Latency,
                  std::size_t ShardsAsked, std::size_t ShardsAnswered);
   void addRefusal(const std::string &Route, std::error_code Reason);
+  /** Counts a request without a route, which was answered with \p Status. */
+  void addUnrouted(unsigned Status, std::error_code Reason);
   void addCall(const ServiceName &Service) { ++m_Calls[Service].m_Calls; }
   void addExtraCall(const ServiceName &Service, SendKind Kind, bool Allowed);
   void addOutcome(const ServiceName &Service, CallOutcome Outcome);
@@ -78,6 +81,7 @@
 private:
   std::map<std::string, RouteCounters> m_Routes;
   std::map<ServiceName, CallCounters> m_Calls;
+  std::map<std::pair<unsigned, std::string>, std::uint64_t> m_Unrouted;
   std::uint64_t m_UnusableRateLimits = 0;
   std::uint64_t m_UnusableWaits = 0;
 };
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -93,7 +93,9 @@
               Seed),
       m_Context(Settings, m_Platform.m_Headers, m_Fleet, Seed),
       m_Frontend(m_Context,
-                 [this] { return m_Platform.m_Adapter->isCurrent(); }),
+                 [this](TimePoint Now) {
+                   return m_Platform.m_Adapter->isConfigProven(Now);
+                 }),
       m_Gossip(m_Fleet, m_Context.crashQuarantine()),
       m_DirectoryPolicy({}, Seed),
       m_CallerConnections(std::make_shared<CallerConnections>(
@@ -113,11 +115,19 @@
 
 auto RoutedNode::makeServer(const std::string &Address, HttpHandler Handler)
     -> ServerPtr {
+  return makeServer(Address, std::move(Handler),
+                    [](TimePoint) { return true; });
+}
+
+auto RoutedNode::makeServer(const std::string &Address, HttpHandler Handler,
+                            std::function<bool(TimePoint Now)> AreLimitsKnown)
+    -> ServerPtr {
   const auto Parsed = parseSocketAddress(Address);
   return std::make_unique<HttpServer>(
       HttpServerOptions{.m_Address = Parsed->m_Host,
                         .m_Port = Parsed->m_Port,
-                        .m_Connections = m_CallerConnections},
+                        .m_Connections = m_CallerConnections,
+                        .m_AreLimitsKnown = std::move(AreLimitsKnown)},
       m_Worker, std::move(Handler));
 }
 
@@ -127,7 +137,10 @@
   m_NextVmRefreshAt = m_StartedAt + InitialVmRefreshDelay;
   m_CallerServer = makeServer(
       m_Settings.m_CallerAddress,
-      [this](const HttpExchangePtr &Each) { m_Frontend.handle(Each); });
+      [this](const HttpExchangePtr &Each) { m_Frontend.handle(Each); },
+      [this](TimePoint Now) {
+        return m_Platform.m_Adapter->isConfigProven(Now);
+      });
   m_ReadinessServer = makeServer(
       m_Settings.m_ReadinessAddress, [this](const HttpExchangePtr &Each) {
         Each->respond(m_Platform.m_Readiness(Each->request(), isReady()));
@@ -312,16 +325,20 @@
              std::chrono::duration_cast<milliseconds>(Lag).count());
   logSink().flush();
   onFleetChange();
-  m_Platform.m_Adapter->onTick(
-      m_Fleet.countAlivePeers(Now) > 0 &&
-          !m_Fleet.selectNewerStateSource(StatePart::Registry),
-      Now);
+  m_Platform.m_Adapter->onTick(fleetAgreement(Now), Now);
   expireTargets();
   m_Context.updateAdmission(Now);
   if (m_Drain.step() != DrainStep::None)
     advanceDrain();
 }
 
+FleetAgreement RoutedNode::fleetAgreement(TimePoint Now) {
+  return {.m_OnRegistry = m_Fleet.countAlivePeers(Now) > 0 &&
+                          !m_Fleet.selectNewerStateSource(StatePart::Registry),
+          .m_OnConfig = m_Fleet.isStoreReachedByPeer(Now) &&
+                        !m_Fleet.selectNewerStateSource(StatePart::Config)};
+}
+
 void RoutedNode::stop(std::function<void()> OnStopped) {
   if (m_OnStopped)
     return;
@@ -409,6 +426,7 @@
        {"ready", isReady()},
        {"configVersion", toJson(m_Fleet.self().m_ConfigVersion)},
        {"followsPlatform", m_Platform.m_Adapter->isCurrent()},
+       {"configProven", m_Platform.m_Adapter->isConfigProven(Now)},
        {"vms", Vms},
        {"targets", Targets}});
 }
@@ -422,6 +440,11 @@
   };
   Add("config_version", m_Fleet.self().m_ConfigVersion);
   Add("follows_platform", m_Platform.m_Adapter->isCurrent() ? 1 : 0);
+  Add("config_proven", m_Platform.m_Adapter->isConfigProven(Now) ? 1 : 0);
+  for (const auto &[Key, Count] : m_CallerServer->refusalCounts())
+    Add(fmt::format("unread_requests_total{{status=\"{}\",cause=\"{}\"}}",
+                    Key.first, Key.second),
+        Count);
   Add("platform_calls_total{kind=\"read\"}", Calls.m_Reads);
   Add("platform_calls_total{kind=\"watch\"}", Calls.m_Watches);
   Add("platform_calls_total{kind=\"write\"}", Calls.m_Writes);
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -69,6 +69,8 @@
   using ServerPtr = std::unique_ptr<HttpServer>;
 
   ServerPtr makeServer(const std::string &Address, HttpHandler Handler);
+  ServerPtr makeServer(const std::string &Address, HttpHandler Handler,
+                       std::function<bool(TimePoint Now)> AreLimitsKnown);
   bool isReady() const;
   void handleRegistryChange(const RegistryChange &Change,
                             std::string_view Cause);
@@ -76,6 +78,7 @@
   void expireTargets();
   void onFleetChange();
   void onTick();
+  FleetAgreement fleetAgreement(TimePoint Now);
   void advanceDrain();
   HttpResponse serveControl(const HttpRequest &Request);
   HttpResponse serveDirectory(const HttpRequest &Request);
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -1,10 +1,7 @@
 /** Synchronization with the platform's store, including store failures. */
 
-#include "platform/StateSynchronizer.h"
-#include "standin/RoutedStandins.h"
-#include "support/FakeTarget.h"
-#include "support/RoutedFleet.h"
 #include "support/RoutedTargets.h"
+#include "support/StateSynchronizerFixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -17,80 +14,6 @@
 
 namespace {
 
-class Recorder final : public PlatformListener {
-public:
-  void onConfig(RoutingConfigPtr Config) override {
-    m_Versions.push_back(Config->version().value());
-  }
-  void onTargets(std::vector<TargetEntry> Entries, TimePoint) override {
-    m_Listings.push_back(Entries.size());
-  }
-  void onTarget(TargetEntry Entry) override {
-    m_Changed.push_back(Entry.m_Instance.m_Name.value());
-  }
-  void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) override {
-    m_Removed.push_back(Name.value());
-    m_PresentAt = PresentAt;
-  }
-  void onEvacuations(std::set<DataCentreName> Evacuated) override {
-    m_Evacuated = std::move(Evacuated);
-  }
-  void onVmAddresses(const std::vector<std::string> &Addresses) override {
-    m_Vms = Addresses;
-  }
-
-  std::vector<std::uint64_t> m_Versions;
-  std::vector<std::size_t> m_Listings;
-  std::vector<std::string> m_Changed;
-  std::vector<std::string> m_Removed;
-  TimePoint m_PresentAt; ///< Of the last removal.
-  std::set<DataCentreName> m_Evacuated;
-  std::vector<std::string> m_Vms;
-};
-
-struct Fixture {
-  Fixture() {
-    ensureQtApplication();
-    m_Store = std::make_unique<StoreStandin>();
-    m_Store->put("config", "main", routedConfig(3));
-    m_Searcher = std::make_unique<SearcherStandin>("i-1", "desk", "nz-south-a");
-    m_Store->put("servers", "i-1", m_Searcher->entry());
-  }
-  ~Fixture() {
-    m_Synchronizer.reset();
-    QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
-  }
-  void start() {
-    RoutedSettings Settings;
-    Settings.m_Vm = VmName("vm-1");
-    Settings.m_StoreAddress = m_Store->address();
-    Settings.m_GossipAddress = "127.0.0.1:7740";
-    m_Synchronizer = std::make_unique<StateSynchronizer>(Settings, 1);
-    m_Synchronizer->start(m_Recorder);
-  }
-  /** Settings of a second VM. */
-  RoutedSettings otherSettings() const {
-    RoutedSettings Settings;
-    Settings.m_Vm = VmName("vm-2");
-    Settings.m_StoreAddress = m_Store->address();
-    Settings.m_GossipAddress = "127.0.0.2:7740";
-    return Settings;
-  }
-  void startAndSettle() {
-    start();
-    processEventsUntil([&] {
-      return m_Synchronizer->isCurrent() &&
-             m_Store->m_RequestCounts["watch servers"] == 1 &&
-             m_Store->m_RequestCounts["watch config"] == 1;
-    });
-  }
-
-  std::unique_ptr<StoreStandin> m_Store;
-  std::unique_ptr<SearcherStandin> m_Searcher;
-  Recorder m_Recorder;
-  std::unique_ptr<StateSynchronizer> m_Synchronizer;
-};
-
 /** Times of a copy that is sent and received now. */
 CopyTimes copiedNow() {
   const TimePoint Now = Clock::now();
@@ -104,7 +27,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(StateSynchronizerTest, Fixture)
+BOOST_FIXTURE_TEST_SUITE(StateSynchronizerTest, StateSynchronizerFixture)
 
 BOOST_AUTO_TEST_CASE(State_afterStart_isListedOnceAndThenWatched) {
   startAndSettle();
@@ -192,13 +115,14 @@
 BOOST_AUTO_TEST_CASE(Watch_ofSentinelLostByStore_isDetectedSoon) {
   startAndSettle();
   m_Synchronizer->setRole(StoreRole::Sentinel);
+  processEventsUntil(
+      [&] { return m_Store->m_RequestCounts["watch servers"] == 2; });
   m_Store->m_UnansweredWatchKind = "servers";
   m_Store->put("servers", "i-2", m_Searcher->entry());
   processEventsUntil(
-      [&] { return m_Store->m_RequestCounts["watch servers"] == 2; });
+      [&] { return m_Store->m_RequestCounts["watch servers"] == 3; });
   m_Store->m_UnansweredWatchKind.clear();
   m_Store->put("servers", "i-1", m_Searcher->entry("draining"));
-  // Takes at most 6 s: the sentinel's watch plus the call timeout.
   processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
   BOOST_TEST(m_Recorder.m_Changed.size() == 1U);
 }
@@ -248,7 +172,7 @@
 
 BOOST_AUTO_TEST_CASE(Copy_importedByFollower_bringsItUpToDate) {
   startAndSettle();
-  Recorder FollowerRecorder;
+  PlatformRecorder FollowerRecorder;
   StateSynchronizer Follower(otherSettings(), 2);
   Follower.start(FollowerRecorder);
   processEventsUntil([&] { return Follower.isCurrent(); });
@@ -425,7 +349,7 @@
 BOOST_AUTO_TEST_CASE(FirstListing_whenACopyArrivesBefore_isNotNeeded) {
   startAndSettle();
   const int Listings = m_Store->m_RequestCounts["list servers"];
-  Recorder CopyingRecorder;
+  PlatformRecorder CopyingRecorder;
   RoutedSettings Settings = otherSettings();
   Settings.m_FirstListDelaySeconds = 3600;
   StateSynchronizer Copying(Settings, 2);
@@ -484,7 +408,7 @@
 
 BOOST_AUTO_TEST_CASE(Removal_inCopies_isDatedByTheSender) {
   startAndSettle();
-  Recorder FollowerRecorder;
+  PlatformRecorder FollowerRecorder;
   StateSynchronizer Follower(otherSettings(), 2);
   Follower.start(FollowerRecorder);
   processEventsUntil([&] { return Follower.isCurrent(); });
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -480,4 +480,30 @@
   BOOST_TEST(Status["targets"].toArray().size() == 3);
 }
 
+// A VM denied requests on a route that it had not heard of, as its watch of the
+// store was silent: with 404 for up to three seconds after the route was due.
+BOOST_AUTO_TEST_CASE(UnknownRoute_whileWatchIsSilent_isNotDenied) {
+  constexpr std::chrono::seconds ConfigurationTime(3);
+  constexpr std::chrono::seconds SilentTime(6);
+  QJsonObject Config = routedConfig(4);
+  QJsonArray Routes = Config["routes"].toArray();
+  QJsonObject Added = Routes[1].toObject();
+  Added["path_prefix"] = "/added/";
+  Routes.append(Added);
+  Config["routes"] = Routes;
+  m_Fleet.runOnStandinThread(
+      [&] { m_Fleet.m_Store->m_SuppressesWatchEvents = true; });
+  m_Fleet.publish(Config);
+  const auto PublishedAt = std::chrono::steady_clock::now();
+  std::this_thread::sleep_until(PublishedAt + ConfigurationTime);
+  unsigned Status = 0;
+  while (Status != 200 &&
+         std::chrono::steady_clock::now() < PublishedAt + SilentTime) {
+    Status = get("/added/x").m_Status;
+    BOOST_TEST((Status == 200 || Status == 503));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  BOOST_TEST(get("/never/x").m_Status == 404U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -279,7 +279,7 @@
   const auto Found =
       std::find_if(m_Watches.begin(), m_Watches.end(),
                    [&](const Watch &Each) { return Each.m_Number == Number; });
-  if (Found == m_Watches.end())
+  if (Found == m_Watches.end() || m_SuppressesWatchEvents)
     return;
   const SimpleHttpResponder Reply = Found->m_Reply;
   m_Watches.erase(Found);
