Don't forward denials that no target has signed

Callers saw 3xx and 4xx that look like the VM's own: whatever answers at a target's address with such a status, without the target's signature, was passed on as the target's answer (a process that took over the port, a faulty target whose reply is spoiled). Callers never repeat a 400, 404, 413 or 431.

Cause: classifyReply() asked for the signature of successful replies only. Class: a reply is taken for the target's without the sign that it is. Now a reply without it counts as failed: repeated where that is allowed, else 502. Replies of 500 and more already did.

--- a/src/protocol/RoutedProtocol.cpp
+++ b/src/protocol/RoutedProtocol.cpp
@@ -149,11 +149,11 @@
     return CallOutcome::Misdirected;
   if (!headerValue(ReplyHeaders, Headers.m_NotExecuted).empty())
     return CallOutcome::Refused;
-  // A successful reply without the target's signature, or with a content
+  // A reply without the target's signature, or a successful one with a content
   // encoding, was modified or sent by something other than the target's
-  // service.
-  if (isSuccess(Status) &&
-      (headerValue(ReplyHeaders, Headers.m_TargetSignature).empty() ||
+  // service. Callers would take a 3xx or 4xx for the VM's own.
+  if (headerValue(ReplyHeaders, Headers.m_TargetSignature).empty() ||
+      (isSuccess(Status) &&
        !headerValue(ReplyHeaders, "Content-Encoding").empty()))
     return CallOutcome::Failed;
   // Only the header above is proof that the request did not run.
--- a/test/process/RoutedFrontendTest.cpp
+++ b/test/process/RoutedFrontendTest.cpp
@@ -172,6 +172,25 @@
   }
 }
 
+// Callers got 3xx and 4xx that no target had signed, as if the VM had denied
+// their requests.
+BOOST_AUTO_TEST_CASE(Denial_withoutTheTargetsSignature_isNotForwarded) {
+  for (const unsigned Status : {301U, 400U, 404U, 413U, 431U}) {
+    std::string Signature;
+    setRunHandler(*m_Desk, [&](const SimpleHttpRequest &Request,
+                               SimpleHttpResponder Reply) {
+      Reply.send(Status, "denied",
+                 Signature + "X-Request-Id: " + Request.header("x-request-id") +
+                     "\r\n");
+    });
+    const std::string Id = std::to_string(Status);
+    BOOST_TEST(book("b-" + Id).m_Status == 502U, Status);
+    BOOST_TEST(get("/look/x", "q-" + Id).m_Status == 502U, Status);
+    m_Fleet.runOnStandinThread([&] { Signature = "X-Server-Stamp: s\r\n"; });
+    BOOST_TEST(book("c-" + Id).m_Status == Status);
+  }
+}
+
 // Other errors are the target's own answers.
 BOOST_AUTO_TEST_CASE(Reply_withAServerError_isForwarded) {
   setRunHandler(
