Read requests whose target is in absolute form

Callers would get 404 for GET http://HOST/PATH, which RFC 9112 obliges servers to accept: the whole target counted as the path, and no route begins so. Found while listing which proper requests our own denials can meet. The target is rewritten to the origin form, and its authority replaces the Host header.

ProperRequestsTest: Target_inAbsoluteForm_isReadAsHostAndPath failed before. Its other two cases, proper requests cut at every byte and at exactly the limits, passed on the former code: the parser is ruled out for them.

--- a/src/transport/HttpCodec.cpp
+++ b/src/transport/HttpCodec.cpp
@@ -92,6 +92,22 @@
   return Count == 1 ? RequestDefect::None : RequestDefect::UnknownCoding;
 }
 
+/** Rewrites a target in absolute form, whose authority goes before the Host
+ *  header (RFC 9112, section 3.2.2), to the origin form. */
+void useOriginForm(http::request<http::string_body> &Message) {
+  constexpr std::string_view Scheme = "http://";
+  const std::string Target = toStdString(Message.target());
+  if (!beast::iequals(toBeastView(Target.substr(0, Scheme.size())),
+                      toBeastView(Scheme)))
+    return;
+  const std::size_t End =
+      std::min(Target.find_first_of("/?", Scheme.size()), Target.size());
+  const std::string Path = Target.substr(End);
+  Message.set(http::field::host,
+              Target.substr(Scheme.size(), End - Scheme.size()));
+  Message.target(Path.starts_with('/') ? Path : "/" + Path);
+}
+
 /** Replaces line breaks in a header field, to prevent header injection. */
 std::string replaceLineBreaks(std::string Value) {
   std::replace(Value.begin(), Value.end(), '\r', ' ');
@@ -259,6 +275,7 @@
 HttpRequest HttpRequestReader::takeMessage() {
   auto Message = m_Parser->m_Parser.release();
   m_Parser.reset();
+  useOriginForm(Message);
   const std::string Target = toStdString(Message.target());
   const std::size_t QueryMark = Target.find('?');
   return {.m_Method = toStdString(Message.method_string()),
