Don't take a leaving target back for an entry that doesn't show its return

A heartbeat that it sent before may be stored after, so its entry says ready once more, up to seconds late if the store executes a write late; an entry that was removed may come back so; a VM forgets a target's own word when the entry lapses in an outage; and an entry that names an earlier start, as after the target's clock was set back, was ignored even if it drains.

Class: the newest message is taken for the newest state. A process that leaves never returns, so the registry now remembers that it is leaving, by its name and start, for 60 s after its entry is gone. A contrary entry counts after 8 s. An entry of an earlier start that drains suspends the target until it is ready.

TargetRegistryTest, five new cases; on the code before, the target was in use again at once in each (that registry has no such notion: isLeaving() was the entry's state and the signals of the present object). Whether the users' cases came from this isn't known: no record of them exists.

--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -17,8 +17,8 @@
 bool TargetChooser::isUsable(const ChoiceQuery &Query,
                              const TargetPtr &Candidate, TimePoint Now) {
   const TargetLoad &Load = Candidate->m_Load;
-  if (Candidate->m_Entry.m_Draining || Candidate->isGone(Now) ||
-      Candidate->m_Signals.isLeaving() || Load.isMisdirected() ||
+  if (Candidate->isLeaving() || Candidate->isGone(Now) ||
+      Load.isMisdirected() ||
       !Query.m_IsDataCentreAllowed(Candidate->m_Entry.m_DataCentre))
     return false;
   if (std::find(Query.m_TriedTargets.begin(), Query.m_TriedTargets.end(),
--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -33,11 +33,24 @@
   /** Until when it may be used though its entry has disappeared; none while the
    *  registry lists it. */
   std::optional<TimePoint> m_RetainedUntil;
+  /** Until when bytes of requests may be written to it, as it is leaving or its
+   *  entry has disappeared. */
+  std::optional<TimePoint> m_WritesUntil;
+  /** When its entry was last found to be draining though a later one said
+   *  otherwise; none while they agree. */
+  std::optional<TimePoint> m_DrainingContradictedAt;
+  /** The registry holds an entry of an earlier start of it that drains. */
+  bool m_HasEarlierDrainingEntry = false;
 
   /** Whether it must no longer be used. */
   bool isGone(TimePoint Now) const {
     return m_RetainedUntil && *m_RetainedUntil <= Now;
   }
+  /** Whether it takes no new requests, by its entry or its own word. */
+  bool isLeaving() const {
+    return m_Entry.m_Draining || m_HasEarlierDrainingEntry ||
+           m_Signals.isLeaving();
+  }
   bool isCold(TimePoint Now) const { return Now < m_Entry.m_ColdUntil; }
 };
 
@@ -52,6 +65,11 @@
   Duration m_DrainTime = milliseconds(3000);
   /** Part of the drain time that is left for requests in transit. */
   Duration m_TransitTime = milliseconds(200);
+  /** How long an entry must say that a draining target is ready again before
+   *  it counts: a heartbeat that was sent before may be stored seconds late. */
+  Duration m_TakeBackDelay = seconds(8);
+  /** How long a leaving process is remembered after its entry was dropped. */
+  Duration m_DepartedMemory = seconds(60);
 };
 
 /** The changes made by an update. */
@@ -61,6 +79,8 @@
   /** Replaced: the entry names a newer process instance, another address or
    *  another service. */
   std::vector<TargetPtr> m_Restarted;
+  std::vector<TargetPtr> m_Leaving;   ///< Have started to drain.
+  std::vector<TargetPtr> m_TakenBack; ///< Don't drain after all.
   std::size_t m_Added = 0; ///< Includes the replacements of m_Restarted.
   std::size_t m_Updated = 0;
 };
@@ -76,13 +96,17 @@
    *  \p PresentAt. */
   RegistryChange replaceAll(std::vector<TargetEntry> Entries,
                             TimePoint PresentAt, TimePoint Now);
-  /** Adds or updates an entry. */
-  RegistryChange upsert(TargetEntry Entry, TimePoint Now);
+  /** Adds or updates an entry, which has changed after \p ChangedAfter. */
+  RegistryChange upsert(TargetEntry Entry, TimePoint ChangedAfter,
+                        TimePoint Now);
+  /** Records that \p Leaving has said itself that it is leaving. */
+  void onLeavingWord(Target &Leaving, TimePoint Now);
   /** Handles an entry that was removed or has become unreadable after
    *  \p PresentAt. */
   RegistryChange remove(const TargetName &Name, TimePoint PresentAt,
                         TimePoint Now);
-  /** Drops missing targets whose retention has expired. */
+  /** Drops missing targets whose retention has expired, and takes targets back
+   *  whose entries have contradicted an earlier one for long enough. */
   RegistryChange expire(TimePoint Now);
   /** When expire() is due next. */
   std::optional<TimePoint> nextExpiry() const;
@@ -99,19 +123,27 @@
   }
 
 private:
-  void put(TargetEntry Entry, RegistryChange &Change);
+  void put(TargetEntry Entry, TimePoint ChangedAfter, TimePoint Now,
+           RegistryChange &Change);
+  /** Applies an entry of the process that is known already. */
+  void update(const TargetPtr &Known, TargetEntry Entry, TimePoint ChangedAfter,
+              TimePoint Now, RegistryChange &Change);
+  /** Bounds the writes to \p Leaving, which was not leaving at \p UsableAt. */
+  void limitWrites(Target &Leaving, TimePoint UsableAt) const;
   void markMissing(const TargetPtr &Missing, TimePoint PresentAt, TimePoint Now,
                    RegistryChange &Change);
   /** Until when a target may be used whose entry disappeared after
    *  \p PresentAt. */
   TimePoint retentionEnd(TimePoint PresentAt, TimePoint Now) const;
   /** Takes its argument by value, as it may be an element of these tables. */
-  void drop(TargetPtr Old);
+  void drop(TargetPtr Old, TimePoint Now);
 
   TargetRegistryOptions m_Options;
   std::map<TargetName, TargetPtr> m_ByName;
   std::map<ServiceName, std::vector<TargetPtr>> m_ByService;
   std::set<DataCentreName> m_Evacuated;
+  /** Processes that were leaving when they were dropped, and when that was. */
+  std::map<TargetInstance, TimePoint> m_Departed;
 };
 
 } // namespace figturn
--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -33,8 +33,9 @@
    *  present, or the registry was unavailable, at \p PresentAt. */
   virtual void onTargets(std::vector<TargetEntry> Entries,
                          TimePoint PresentAt) = 0;
-  /** A new or changed registry entry. */
-  virtual void onTarget(TargetEntry Entry) = 0;
+  /** A new or changed registry entry. It changed, or the registry was
+   *  unavailable, after \p ChangedAfter. */
+  virtual void onTarget(TargetEntry Entry, TimePoint ChangedAfter) = 0;
   /** A registry entry that was removed or is no longer usable. It was present,
    *  or the registry was unavailable, at \p PresentAt. */
   virtual void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) = 0;
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -220,11 +220,11 @@
   onFleetChange();
 }
 
-void RoutedNode::onTarget(TargetEntry Entry) {
+void RoutedNode::onTarget(TargetEntry Entry, TimePoint ChangedAfter) {
   const std::string Name = Entry.m_Instance.m_Name.value();
   const bool IsDraining = Entry.m_Draining;
   const RegistryChange Change =
-      m_Context.registry().upsert(std::move(Entry), Clock::now());
+      m_Context.registry().upsert(std::move(Entry), ChangedAfter, Clock::now());
   if (Change.m_Updated + Change.m_Added > 0)
     logEvent(Event::TargetEntryChanged, "target={} draining={}", Name,
              IsDraining);
@@ -248,6 +248,9 @@
 
 void RoutedNode::handleRegistryChange(const RegistryChange &Change,
                                       std::string_view Cause) {
+  // Its pool takes no calls any longer; the next call gets a new one.
+  for (const TargetPtr &Each : Change.m_TakenBack)
+    m_Context.connectionPools().removePool(Each);
   for (const auto *Dropped : {&Change.m_RemovedTargets, &Change.m_Restarted})
     for (const TargetPtr &Each : *Dropped) {
       m_Context.recordTargetDown(Each->m_Entry.m_Instance, "registry",
@@ -255,14 +258,17 @@
       m_Context.connectionPools().removePool(Each);
     }
   if (Change.m_RemovedTargets.empty() && Change.m_Restarted.empty() &&
-      Change.m_Missing.empty() && Change.m_Added == 0)
+      Change.m_Missing.empty() && Change.m_Leaving.empty() &&
+      Change.m_TakenBack.empty() && Change.m_Added == 0)
     return;
-  logEvent(Event::RegistryChanged,
-           "cause={} targets={} added={} gone={} missing={} restarted={}",
-           Cause, m_Context.registry().size(), Change.m_Added,
-           joinTargetNames(Change.m_RemovedTargets),
-           joinTargetNames(Change.m_Missing),
-           joinTargetNames(Change.m_Restarted));
+  logEvent(
+      Event::RegistryChanged,
+      "cause={} targets={} added={} gone={} missing={} restarted={} "
+      "leaving={} taken_back={}",
+      Cause, m_Context.registry().size(), Change.m_Added,
+      joinTargetNames(Change.m_RemovedTargets),
+      joinTargetNames(Change.m_Missing), joinTargetNames(Change.m_Restarted),
+      joinTargetNames(Change.m_Leaving), joinTargetNames(Change.m_TakenBack));
 }
 
 void RoutedNode::onEvacuations(std::set<DataCentreName> Evacuated) {
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -60,7 +60,7 @@
   void onConfig(RoutingConfigPtr Config) override;
   void onTargets(std::vector<TargetEntry> Entries,
                  TimePoint PresentAt) override;
-  void onTarget(TargetEntry Entry) override;
+  void onTarget(TargetEntry Entry, TimePoint ChangedAfter) override;
   void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) override;
   void onEvacuations(std::set<DataCentreName> Evacuated) override;
   void onVmAddresses(const std::vector<std::string> &Addresses) override;
--- a/test/correctness/StateSpreadReplayTest.cpp
+++ b/test/correctness/StateSpreadReplayTest.cpp
@@ -66,7 +66,7 @@
 public:
   void onConfig(RoutingConfigPtr) override {}
   void onTargets(std::vector<TargetEntry>, TimePoint) override {}
-  void onTarget(TargetEntry) override {}
+  void onTarget(TargetEntry, TimePoint) override {}
   void onTargetRemoved(const TargetName &, TimePoint) override {}
   void onEvacuations(std::set<DataCentreName>) override {}
   void onVmAddresses(const std::vector<std::string> &) override {}
--- a/test/correctness/TargetRegistryTest.cpp
+++ b/test/correctness/TargetRegistryTest.cpp
@@ -14,7 +14,7 @@
       TargetRegistryOptions{.m_MissingRetention = milliseconds(2400)}};
   ServiceName m_Service{"shard-0"};
 
-  void add(const TargetEntry &Entry) { m_Registry.upsert(Entry, Start); }
+  void add(const TargetEntry &Entry) { m_Registry.upsert(Entry, Start, Start); }
   /** When t-1 must no longer be used, if a VM learns of its removal \p Later
    *  than its entry was last known to be present. */
   TimePoint unusableAt(Duration Later) {
@@ -110,8 +110,8 @@
 BOOST_AUTO_TEST_CASE(Name_withALaterStart_isANewTarget) {
   add(makeEntry("t-1", "shard-0", "nz-south-a", 1000));
   const TargetPtr Original = m_Registry.targets(m_Service)[0];
-  const auto Change =
-      m_Registry.upsert(makeEntry("t-1", "shard-0", "nz-south-a", 2000), Start);
+  const auto Change = m_Registry.upsert(
+      makeEntry("t-1", "shard-0", "nz-south-a", 2000), Start, Start);
   BOOST_TEST(Change.m_Restarted.size() == 1U);
   BOOST_TEST((m_Registry.targets(m_Service)[0] != Original));
   BOOST_TEST(knownTargets() == 1U);
@@ -153,4 +153,73 @@
       !m_Registry.targets(m_Service)[0]->m_RateLimit.requestsPerSecond());
 }
 
+// A heartbeat that was sent before the target drained, and stored after, put
+// the target in use again.
+BOOST_AUTO_TEST_CASE(Target_thatDrains_isNotTakenBackByALateHeartbeat) {
+  TargetEntry Draining = makeEntry("t-1");
+  Draining.m_Draining = true;
+  add(makeEntry("t-1"));
+  BOOST_TEST(m_Registry.upsert(Draining, Start, Start).m_Leaving.size() == 1U);
+  const TargetPtr Leaving = m_Registry.targets(m_Service)[0];
+  BOOST_TEST((Leaving->m_WritesUntil == Start + milliseconds(2800)));
+  m_Registry.upsert(makeEntry("t-1"), Start, Start + seconds(1));
+  BOOST_TEST(Leaving->isLeaving());
+  BOOST_TEST(m_Registry.expire(Start + seconds(7)).m_TakenBack.empty());
+  // The next heartbeat says so again.
+  m_Registry.upsert(Draining, Start, Start + seconds(8));
+  BOOST_TEST(m_Registry.expire(Start + seconds(30)).m_TakenBack.empty());
+  BOOST_TEST(Leaving->isLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(Target_thatIsReadyForLongAgain_isTakenBack) {
+  TargetEntry Draining = makeEntry("t-1");
+  Draining.m_Draining = true;
+  add(Draining);
+  m_Registry.upsert(makeEntry("t-1"), Start, Start + seconds(1));
+  BOOST_TEST(m_Registry.expire(Start + seconds(9)).m_TakenBack.size() == 1U);
+  BOOST_TEST(!m_Registry.targets(m_Service)[0]->isLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(Target_thatLeft_isStillLeavingWhenListedOnceMore) {
+  TargetEntry Draining = makeEntry("t-1");
+  Draining.m_Draining = true;
+  add(Draining);
+  m_Registry.remove(TargetName("t-1"), Start, Start + seconds(3));
+  BOOST_TEST(knownTargets() == 0U);
+  m_Registry.upsert(makeEntry("t-1"), Start, Start + seconds(4));
+  BOOST_TEST(m_Registry.targets(m_Service)[0]->isLeaving());
+  // Another process under its name is not.
+  add(makeEntry("t-1", "shard-0", "nz-south-a", 2000));
+  BOOST_TEST(!m_Registry.targets(m_Service)[0]->isLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(Target_thatSaidItLeaves_isStillLeavingAfterALapse) {
+  add(makeEntry("t-1"));
+  m_Registry.targets(m_Service)[0]->m_Signals.onReply({.m_IsLeaving = true},
+                                                      Start);
+  m_Registry.remove(TargetName("t-1"), Start, Start);
+  m_Registry.expire(Start + seconds(3));
+  BOOST_TEST(knownTargets() == 0U);
+  m_Registry.upsert(makeEntry("t-1"), Start, Start + seconds(4));
+  BOOST_TEST(m_Registry.targets(m_Service)[0]->isLeaving());
+}
+
+// A target that started again while its clock was set back names an earlier
+// start; that it drains was ignored.
+BOOST_AUTO_TEST_CASE(Target_whoseEarlierStartDrains_isLeavingUntilItIsReady) {
+  add(makeEntry("t-1", "shard-0", "nz-south-a", 2000));
+  TargetEntry Earlier = makeEntry("t-1", "shard-0", "nz-south-a", 1000);
+  m_Registry.upsert(Earlier, Start, Start);
+  const TargetPtr Known = m_Registry.targets(m_Service)[0];
+  BOOST_TEST(!Known->isLeaving());
+  Earlier.m_Draining = true;
+  BOOST_TEST(m_Registry.upsert(Earlier, Start, Start).m_Leaving.size() == 1U);
+  BOOST_TEST(Known->isLeaving());
+  BOOST_TEST(
+      m_Registry
+          .upsert(makeEntry("t-1", "shard-0", "nz-south-a", 2000), Start, Start)
+          .m_TakenBack.size() == 1U);
+  BOOST_TEST(!Known->isLeaving());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetSignalsTest.cpp
+++ b/test/correctness/TargetSignalsTest.cpp
@@ -52,15 +52,15 @@
 BOOST_AUTO_TEST_CASE(Signals_ofAProcess_endWithIt) {
   TargetRegistry Registry{TargetRegistryOptions{}};
   const ServiceName Service("desk");
-  Registry.upsert(makeEntry("i-1", "desk", "nz-south-a", 1000), Start);
+  Registry.upsert(makeEntry("i-1", "desk", "nz-south-a", 1000), Start, Start);
   Registry.targets(Service)[0]->m_Signals.onReply(
       {.m_IsLeaving = true, .m_WaitTime = seconds(9)}, Start);
   // A later entry of the same process doesn't take the signals back.
   TargetEntry Later = makeEntry("i-1", "desk", "nz-south-a", 1000);
   Later.m_Slots = 9;
-  Registry.upsert(Later, Start);
+  Registry.upsert(Later, Start, Start);
   BOOST_TEST(Registry.targets(Service)[0]->m_Signals.isLeaving());
-  Registry.upsert(makeEntry("i-1", "desk", "nz-south-a", 2000), Start);
+  Registry.upsert(makeEntry("i-1", "desk", "nz-south-a", 2000), Start, Start);
   BOOST_TEST(!Registry.targets(Service)[0]->m_Signals.isLeaving());
   BOOST_TEST(!Registry.targets(Service)[0]->m_Signals.isWaiting(Start));
 }
--- a/test/support/LoadReplay.h
+++ b/test/support/LoadReplay.h
@@ -146,7 +146,7 @@
         : m_Owner(Owner), m_DataCentre(DataCentre),
           m_Chooser(Owner.m_Options.m_Costs, Seed), m_Random(Seed) {
       for (const auto &Each : Owner.m_Targets)
-        m_Registry.upsert(Each->m_Entry, Start);
+        m_Registry.upsert(Each->m_Entry, Start, Start);
       constexpr std::size_t Replicas = 3;
       m_Admission.setFairShare(
           Replicas * Owner.m_Targets.front()->m_Entry.m_Slots,
--- a/test/support/StateSynchronizerFixture.h
+++ b/test/support/StateSynchronizerFixture.h
@@ -24,7 +24,7 @@
   void onTargets(std::vector<TargetEntry> Entries, TimePoint) override {
     m_Listings.push_back(Entries.size());
   }
-  void onTarget(TargetEntry Entry) override {
+  void onTarget(TargetEntry Entry, TimePoint) override {
     m_Changed.push_back(Entry.m_Instance.m_Name.value());
   }
   void onTargetRemoved(const TargetName &Name, TimePoint PresentAt) override {
