End all writes to a leaving target by one bound

Seen by targets: requests later than the drain time after the store's ack, or after their own word.

Cause: whether a target may be used was decided when it was chosen, and the bytes were written later. Class: a decision is used after the state that it rests on has changed. Calls to targets of an evacuated data centre had the same.

Now Target::m_WritesUntil holds one bound, from the registry or the target's word. When a VM learns that a target is leaving, calls that wait for it are sent to other targets as not sent (they cost no retry); at the bound, connections with bytes that have not reached the target are reset.

TargetPool- Test: two cases for the pool's new function.

--- a/src/node/RoutedContext.cpp
+++ b/src/node/RoutedContext.cpp
@@ -123,8 +123,11 @@
       {.m_IsLeaving = decodeLeaving(ReplyHeaders, m_Headers),
        .m_WaitTime = Wait.m_Time},
       Now);
-  if (Change.m_StartedLeaving)
+  if (Change.m_StartedLeaving) {
     logEvent(Event::TargetLeaving, "target={} service={}", Name, Service);
+    m_Registry.onLeavingWord(Source, Now);
+    endWrites(Source, "reply");
+  }
   if (!Change.m_StartedWait)
     return;
   logEvent(Event::TargetWaiting, "target={} service={} ms={}", Name, Service,
@@ -133,6 +136,18 @@
   m_ConnectionPools.failUnsentCalls(Source);
 }
 
+void RoutedContext::endWrites(const Target &Leaving,
+                              std::string_view Evidence) {
+  const std::size_t Moved =
+      m_ConnectionPools.limitWrites(Leaving, *Leaving.m_WritesUntil);
+  m_Metrics.addMovedCalls(Moved);
+  if (Moved > 0)
+    logEvent(Event::UnsentCallsMoved,
+             "target={} service={} evidence={} calls={}",
+             Leaving.m_Entry.m_Instance.m_Name, Leaving.m_Entry.m_Service,
+             Evidence, Moved);
+}
+
 void RoutedContext::applyRateLimit(Target &Source,
                                    const HttpHeaders &ReplyHeaders,
                                    TimePoint SentAt, TimePoint Now) {
--- a/src/node/RoutedContext.h
+++ b/src/node/RoutedContext.h
@@ -86,6 +86,10 @@
   RequestAdmission &admission() { return m_Admission; }
   const RequestAdmission &admission() const { return m_Admission; }
   CrashQuarantine &crashQuarantine() { return m_CrashQuarantine; }
+  /** Moves the calls that wait for a connection to \p Leaving, which is leaving
+   *  by \p Evidence, to other targets, and bounds the time for the bytes of
+   * those that are partly written. */
+  void endWrites(const Target &Leaving, std::string_view Evidence);
   /** Records that \p Target is down; \p Evidence is logged as the reason. */
   void recordTargetDown(const TargetInstance &Target, std::string_view Evidence,
                         TimePoint Now);
--- a/src/node/RoutedMetrics.cpp
+++ b/src/node/RoutedMetrics.cpp
@@ -126,6 +126,7 @@
   Text += fmt::format("figturn_unusable_rate_limits_total {}\n",
                       m_UnusableRateLimits);
   Text += fmt::format("figturn_unusable_waits_total {}\n", m_UnusableWaits);
+  Text += fmt::format("figturn_unsent_calls_moved_total {}\n", m_MovedCalls);
   return Text;
 }
 
--- a/src/node/RoutedMetrics.h
+++ b/src/node/RoutedMetrics.h
@@ -72,6 +72,8 @@
   void addOutcome(const ServiceName &Service, CallOutcome Outcome);
   /** Counts a reply whose rate limit can't be read. */
   void addUnusableRateLimit() { ++m_UnusableRateLimits; }
+  /** Counts calls that waited for a connection to a leaving target. */
+  void addMovedCalls(std::size_t Count) { m_MovedCalls += Count; }
   /** Counts a reply whose wait can't be read. */
   void addUnusableWait() { ++m_UnusableWaits; }
 
@@ -84,6 +86,7 @@
   std::map<std::pair<unsigned, std::string>, std::uint64_t> m_Unrouted;
   std::uint64_t m_UnusableRateLimits = 0;
   std::uint64_t m_UnusableWaits = 0;
+  std::uint64_t m_MovedCalls = 0;
 };
 
 /** Name of \p Outcome in logs and metrics, for example "lost". */
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -248,6 +248,8 @@
 
 void RoutedNode::handleRegistryChange(const RegistryChange &Change,
                                       std::string_view Cause) {
+  for (const TargetPtr &Each : Change.m_Leaving)
+    m_Context.endWrites(*Each, "registry");
   // Its pool takes no calls any longer; the next call gets a new one.
   for (const TargetPtr &Each : Change.m_TakenBack)
     m_Context.connectionPools().removePool(Each);
@@ -278,6 +280,9 @@
     Names.push_back(Each.value());
   logEvent(Event::EvacuationsChanged, "data_centres={}", fmt::join(Names, ","));
   m_Context.registry().setEvacuated(std::move(Evacuated));
+  for (const auto &[Name, Each] : m_Context.registry().all())
+    if (m_Context.registry().isEvacuated(Each->m_Entry.m_DataCentre))
+      m_Context.connectionPools().failUnsentCalls(*Each);
 }
 
 void RoutedNode::onVmAddresses(const std::vector<std::string> &Addresses) {
--- a/src/node/TargetConnectionPools.cpp
+++ b/src/node/TargetConnectionPools.cpp
@@ -51,7 +51,7 @@
     return CallOutcome::Unanswered;
   // A target that sent a malformed reply is reachable, so the call isn't lost.
   if (Result.m_Error == Errc::TruncatedReply ||
-      Result.m_Error == Errc::BadReply)
+      Result.m_Error == Errc::BadReply || Result.m_Error == Errc::TargetLeft)
     return CallOutcome::Failed;
   return CallOutcome::Lost;
 }
@@ -173,6 +173,12 @@
     Found->second->failUnsentCalls();
 }
 
+std::size_t TargetConnectionPools::limitWrites(const Target &Destination,
+                                               TimePoint Until) {
+  const auto Found = m_Pools.find(Destination.m_Entry.m_Instance);
+  return Found == m_Pools.end() ? 0 : Found->second->limitWrites(Until);
+}
+
 void TargetConnectionPools::ensureConnection(const TargetInstance &Target) {
   if (const auto Found = m_Pools.find(Target); Found != m_Pools.end())
     Found->second->warmUp(1);
@@ -183,6 +189,8 @@
   m_Services.erase(Removed->m_Entry.m_Instance);
   if (Node.empty())
     return;
+  if (Removed->m_WritesUntil)
+    Node.mapped()->limitWrites(*Removed->m_WritesUntil);
   Node.mapped()->failUnsentCalls();
   m_OpenedByRemovedPools += Node.mapped()->counters().m_Opened;
   m_DrainingPools.push_back(std::move(Node.mapped()));
--- a/src/node/TargetConnectionPools.h
+++ b/src/node/TargetConnectionPools.h
@@ -87,6 +87,11 @@
   /** Ends the calls to \p Destination that no byte was written of; their
    *  outcome is NotSent. */
   void failUnsentCalls(const Target &Destination);
+
+  /** Ends the calls to \p Destination that no byte was written of, as not sent,
+   *  and at \p Until those that are still partly written. Returns the number of
+   *  the former. */
+  std::size_t limitWrites(const Target &Destination, TimePoint Until);
   /** Opens a connection to \p Target if its pool has none. */
   void ensureConnection(const TargetInstance &Target);
   /** Removes the pool of \p Removed. Calls that no byte was written of end as
--- a/src/state/Errc.cpp
+++ b/src/state/Errc.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 34> ErrcNames = {
+constexpr std::array<std::string_view, 35> ErrcNames = {
     "ok",
     "bad-request",
     "unknown-service",
@@ -34,6 +34,7 @@
     "version-not-held",
     "target-shed",
     "target-failed",
+    "target-left",
     "record-not-found",
     "object-not-found",
     "version-conflict",
--- a/src/state/Errc.h
+++ b/src/state/Errc.h
@@ -42,6 +42,7 @@
   VersionNotHeld,
   TargetShed,
   TargetFailed,
+  TargetLeft, ///< The time in which a leaving target takes requests is over.
   RecordNotFound,
   // Responses of the platform or a peer.
   ObjectNotFound,
--- a/src/transport/StreamSocket.cpp
+++ b/src/transport/StreamSocket.cpp
@@ -196,6 +196,12 @@
   m_Connected = false;
 }
 
+void StreamSocket::discardOnClose() const {
+  const linger Immediate{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(m_Descriptor, SOL_SOCKET, SO_LINGER, &Immediate,
+               sizeof(Immediate));
+}
+
 bool StreamSocket::isIdleAndOpen() const {
   if (!isConnected() || !m_Input.empty())
     return false;
--- a/src/transport/StreamSocket.h
+++ b/src/transport/StreamSocket.h
@@ -59,6 +59,9 @@
    */
   std::string &input() { return m_Input; }
   void close();
+  /** Makes close() reset the connection and discard what the kernel has not
+   *  sent yet. */
+  void discardOnClose() const;
 
   bool isConnected() const { return m_Connected && m_Descriptor >= 0; }
   /** Whether all written bytes were passed to the kernel. */
--- a/src/transport/TargetConnection.cpp
+++ b/src/transport/TargetConnection.cpp
@@ -181,6 +181,11 @@
   m_Socket.close();
 }
 
+void TargetConnection::reset() {
+  m_Socket.discardOnClose();
+  close();
+}
+
 bool TargetConnection::isIdleAndOpen() const {
   return !m_Closed && m_Socket.isIdleAndOpen();
 }
--- a/src/transport/TargetConnection.h
+++ b/src/transport/TargetConnection.h
@@ -77,6 +77,12 @@
   bool hasUnacknowledgedBytes() const {
     return m_Socket.hasUnacknowledgedBytes();
   }
+  /** Whether bytes of a request may still reach the target. */
+  bool hasUnsentBytes() const {
+    return !m_Socket.isFlushed() || m_Socket.hasUnacknowledgedBytes();
+  }
+  /** Closes the connection so that bytes not yet received are not delivered. */
+  void reset();
   /** Whether part of the current reply was received. */
   bool hasPartialReply() const { return m_Reader.hasStarted(); }
   bool isConnected() const { return m_Connected; }
--- a/src/transport/TargetPool.cpp
+++ b/src/transport/TargetPool.cpp
@@ -32,6 +32,10 @@
   m_Impl->failWaitingCalls(Errc::TargetShed);
 }
 
+std::size_t TargetPool::limitWrites(TimePoint Until) {
+  return m_Impl->limitWrites(Until);
+}
+
 void TargetPool::warmUp(std::size_t Count) { m_Impl->warmUp(Count); }
 
 std::size_t TargetPool::connections() const {
--- a/src/transport/TargetPool.h
+++ b/src/transport/TargetPool.h
@@ -100,7 +100,7 @@
   CallId m_Call;
   /** No error if a complete reply was received; otherwise ConnectFailed,
    *  ConnectionClosed, ConnectionSilent, TruncatedReply, BadReply,
-   *  DeadlineExceeded or Cancelled. */
+   *  DeadlineExceeded, TargetShed, TargetLeft or Cancelled. */
   std::error_code m_Error;
   unsigned m_Status = 0;
   HttpHeaders m_Headers;
@@ -171,6 +171,12 @@
   /** Ends all calls that no byte was written of, with TargetShed and NotRun. */
   void failUnsentCalls();
 
+  /** Ends all calls that no byte was written of, with TargetLeft and NotRun,
+   * and at \p Until those whose bytes haven't all reached the target, with
+   *  TargetLeft and MayHaveRun; later calls end at once. Returns the number of
+   *  the first. The earliest limit holds. */
+  std::size_t limitWrites(TimePoint Until);
+
   /** Opens connections in advance, up to a total of \p Count. */
   void warmUp(std::size_t Count);
 
--- a/src/transport/TargetPoolImpl.cpp
+++ b/src/transport/TargetPoolImpl.cpp
@@ -181,6 +181,8 @@
     const BootId &Boot = Record.m_Call.m_RequiredBootId;
     if (Record.m_Call.m_Deadline <= Now)
       failCall(Id, Errc::DeadlineExceeded, RunVerdict::NotRun);
+    else if (m_WritesUntil <= Now)
+      failCall(Id, Errc::TargetLeft, RunVerdict::NotRun);
     else if (PooledConnection *Idle = findUsableIdle(Boot))
       writeCall(*Idle, Record);
     else if (mayReachBoot(Boot))
@@ -328,6 +330,14 @@
     failCall(Id, Error, RunVerdict::NotRun);
 }
 
+std::size_t TargetPool::Impl::limitWrites(TimePoint Until) {
+  m_WritesUntil = std::min(m_WritesUntil, Until);
+  const std::size_t Unsent = m_WaitingCalls.size();
+  failWaitingCalls(Errc::TargetLeft);
+  armTimer();
+  return Unsent;
+}
+
 void TargetPool::Impl::endCallEarly(CallId Id, std::error_code Error) {
   CallRecord &Record = m_Calls.at(Id);
   PooledConnection *Pooled = Record.m_AssignedConnection;
--- a/src/transport/TargetPoolImpl.h
+++ b/src/transport/TargetPoolImpl.h
@@ -81,6 +81,7 @@
   void send(TargetCall Call, ResultHandler OnResult);
   void cancel(CallId Id);
   void failWaitingCalls(std::error_code Error);
+  std::size_t limitWrites(TimePoint Until);
   bool withdraw(CallId Id);
   void setMaxConnections(std::size_t Limit);
   void warmUp(std::size_t Count);
@@ -126,6 +127,8 @@
   void handleReply(const TargetConnection &Connection, HttpReply Reply);
   void onTimer();
   void endExpiredCalls(TimePoint Now);
+  /** Ends the writes that the limit of writes doesn't allow any longer. */
+  void endLateWrites(TimePoint Now);
   void closeExpiredConnections(TimePoint Now);
   void armTimer();
   TimePoint nextTimeout(const PooledConnection &Pooled) const;
@@ -150,6 +153,7 @@
   std::deque<PendingCancellation> m_PendingCancellations;
   std::vector<std::function<void()>> m_QueuedReports;
   QTimer m_Timer;
+  TimePoint m_WritesUntil = TimePoint::max(); ///< Set as the target leaves.
   TimePoint m_NextOpenAt;
   TimePoint m_NextProbeAt;
   /** When the newest connection that became ready was opened. */
--- a/src/transport/TargetPoolTimeouts.cpp
+++ b/src/transport/TargetPoolTimeouts.cpp
@@ -20,6 +20,7 @@
 void TargetPool::Impl::onTimer() {
   const TimePoint Now = Clock::now();
   endExpiredCalls(Now);
+  endLateWrites(Now);
   closeExpiredConnections(Now);
   checkSilentConnections(Now);
   processQueues();
@@ -45,6 +46,22 @@
     startProbe(Now);
 }
 
+void TargetPool::Impl::endLateWrites(TimePoint Now) {
+  if (Now < m_WritesUntil)
+    return;
+  std::vector<PooledConnection *> Unwritten;
+  for (const auto &Each : m_Connections)
+    if (Each->m_Connection->isConnected() &&
+        Each->m_Connection->hasUnsentBytes())
+      Unwritten.push_back(Each.get());
+  for (PooledConnection *Each : Unwritten) {
+    if (Each->m_State == ConnectionState::Call)
+      failCall(Each->m_Call, Errc::TargetLeft, RunVerdict::MayHaveRun);
+    Each->m_Connection->reset();
+    removeConnection(*Each);
+  }
+}
+
 void TargetPool::Impl::closeExpiredConnections(TimePoint Now) {
   std::vector<PooledConnection *> Expired;
   for (const auto &Each : m_Connections)
@@ -115,6 +132,8 @@
   }
   if (!m_WaitingCalls.empty() && m_NextOpenAt > Now)
     Consider(m_NextOpenAt);
+  if (m_WritesUntil > Now)
+    Consider(m_WritesUntil);
   if (NextTimeout == TimePoint::max()) {
     m_Timer.stop();
     return;
--- a/test/correctness/TargetPoolTest.cpp
+++ b/test/correctness/TargetPoolTest.cpp
@@ -354,4 +354,35 @@
   BOOST_TEST((waitForResult(2).m_Verdict == RunVerdict::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(Calls_waitingForALeavingTarget_endAsNotSent) {
+  start({.m_MaxConnections = 1});
+  send(call(1));
+  auto Request = m_Target.nextRequest();
+  send(call(2));
+  BOOST_TEST(m_Pool->limitWrites(Clock::now() + seconds(10)) == 1U);
+  const auto Moved = waitForResult(2);
+  BOOST_TEST((Moved.m_Error == Errc::TargetLeft));
+  BOOST_TEST((Moved.m_Verdict == RunVerdict::NotRun));
+  Request.m_Connection->reply("ok");
+  BOOST_TEST(waitForResult(1).m_Body == "ok");
+}
+
+// The rest of a long request was written to its target however long the target
+// had been leaving.
+BOOST_AUTO_TEST_CASE(Call_partlyWrittenToALeavingTarget_endsAtTheLimit) {
+  m_Target.stopReading();
+  start({.m_UsesFigturnProtocol = false});
+  auto Long = call(1);
+  Long.m_Body = std::string(33554432, 'x');
+  send(std::move(Long));
+  processEventsUntil([&] { return observationCount(Kind::Connected) == 1; });
+  m_Pool->limitWrites(Clock::now() + milliseconds(50));
+  const auto Result = waitForResult(1);
+  BOOST_TEST((Result.m_Error == Errc::TargetLeft));
+  BOOST_TEST((Result.m_Verdict == RunVerdict::MayHaveRun));
+  BOOST_TEST(m_Pool->connections() == 0U);
+  send(call(2));
+  BOOST_TEST((waitForResult(2).m_Error == Errc::TargetLeft));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/FakeTarget.h
+++ b/test/support/FakeTarget.h
@@ -99,6 +99,8 @@
   }
 
   void stopListening() { m_Server.close(); }
+  /** Accepts connections, but reads nothing from them. */
+  void stopReading() { m_Server.pauseAccepting(); }
 
   std::string m_BootId = "boot-1";
   bool m_AnswersHellos = true;
