--- a/src/node/TargetRunner.cpp
+++ b/src/node/TargetRunner.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds RefusedRetryInterval{250};
 /** Delay before a deferred call requests a slot again. */
 constexpr milliseconds DeferInterval{20};
+/** How long the rest of a partly written call may be written to a target that
+ * the configuration no longer names. */
+constexpr milliseconds RemovedTargetWriteTime{2800};
 /** Added to a forwarded call's timeout for the reply's transit. */
 constexpr milliseconds PeerReplyMargin{50};
 
@@ -110,6 +113,11 @@
   const auto Found = m_Calls.find(Call);
   if (Found == m_Calls.end())
     return;
+  if (m_DeleteWhenIdle) {
+    // Another VM declined a call that was forwarded to it before.
+    refuse(Call, Errc::TargetLeft);
+    return;
+  }
   const CallRequest &Request = Found->second.m_Request;
   const SlotRequest Wanted{.m_Call = Call,
                            .m_Priority = Request.m_Urgent ? Priority::Urgent
@@ -299,6 +307,16 @@
 
 void TargetRunner::deleteWhenIdle() {
   m_DeleteWhenIdle = true;
+  m_Pool.limitWrites(Clock::now() + RemovedTargetWriteTime);
+  std::vector<CallId> Unsent;
+  for (const auto &[Id, Call] : m_Calls)
+    if (Call.m_State == PendingCall::State::Queued ||
+        Call.m_State == PendingCall::State::Deferred)
+      Unsent.push_back(Id);
+  for (const CallId Id : Unsent) {
+    m_Gate.withdraw(Id);
+    refuse(Id, Errc::TargetLeft);
+  }
   if (m_Calls.empty())
     deleteLater();
 }
--- a/src/node/TargetRunner.h
+++ b/src/node/TargetRunner.h
@@ -63,7 +63,8 @@
   std::optional<TimePoint> lastCallEndTime() const {
     return m_Gate.lastCallEndTime();
   }
-  /** Deletes this runner once its last call has ended. */
+  /** Ends the calls that were not written, as not run, and deletes this runner
+   *  once the others have ended. */
   void deleteWhenIdle();
   /** Whether the target's address or limits differ from \p Config. */
   bool differsFrom(const TargetConfig &Config) const;
--- a/test/process/FleetChangesTest.cpp
+++ b/test/process/FleetChangesTest.cpp
@@ -4,6 +4,8 @@
 #include "support/FleetLoad.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
+#include <vector>
 
 using namespace figturn;
 using namespace figturn::test;
@@ -66,6 +68,43 @@
   BOOST_TEST(callsInDataCentre(Fleet, "nz-south-a") > CallsBefore);
 }
 
+// Calls that waited for a slot of a target were sent to it after the
+// configuration had ceased to name it.
+BOOST_AUTO_TEST_CASE(CallsThatWait_whenTargetIsRemoved_goToAnother) {
+  Cluster Fleet({.m_Services = {{.m_Shards = 1,
+                                 .m_Targets = 2,
+                                 .m_Replicas = 2,
+                                 .m_SlotsPerSearcher = 1}},
+                 .m_EntryVms = 1});
+  const std::string Removed = Fleet.targetNames().front();
+  const auto CallsOfRemoved = [&] {
+    return Fleet.targetCounters(Removed)["calls"].toInteger();
+  };
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(coversAllShards(
+        Fleet.vmClient(0).postJson(SearchPath, searchBody("gold"))));
+  const std::int64_t CallsBefore = CallsOfRemoved();
+  for (const std::string &Name : Fleet.targetNames())
+    Fleet.controlTarget(Name, {{"delayMs", 700}});
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < 8; ++I)
+    Callers.emplace_back(
+        [&] { Fleet.vmClient(0).postJson(SearchPath, searchBody("gold")); });
+  const auto Deadline = std::chrono::steady_clock::now() + seconds(5);
+  while (CallsOfRemoved() == CallsBefore &&
+         std::chrono::steady_clock::now() < Deadline)
+    std::this_thread::sleep_for(milliseconds(10));
+  QJsonObject Targets = Fleet.configuration()["targets"].toObject();
+  Targets.remove(QString::fromStdString(Removed));
+  Fleet.configuration()["targets"] = Targets;
+  Fleet.publishConfiguration();
+  waitForConfigurations(Fleet, 2);
+  const std::int64_t Calls = CallsOfRemoved();
+  for (std::thread &Each : Callers)
+    Each.join();
+  BOOST_TEST(CallsOfRemoved() == Calls);
+}
+
 BOOST_AUTO_TEST_CASE(Search_duringPlatformOutage_isAnswered) {
   Cluster Fleet(ClusterOptions{});
   Fleet.platformClient().postJson("/control", {{"outage", true}});
