--- a/src/coordination/TargetRegistry.h
+++ b/src/coordination/TargetRegistry.h
@@ -36,8 +36,7 @@
   /** Until when bytes of requests may be written to it, as it is leaving or its
    *  entry has disappeared. */
   std::optional<TimePoint> m_WritesUntil;
-  /** When its entry was last found to be draining though a later one said
-   *  otherwise; none while they agree. */
+  /** Since when its entry has said that it is ready, though it has drained. */
   std::optional<TimePoint> m_DrainingContradictedAt;
   /** The registry holds an entry of an earlier start of it that drains. */
   bool m_HasEarlierDrainingEntry = false;
