--- a/test/correctness/ConfigProofTest.cpp
+++ b/test/correctness/ConfigProofTest.cpp
@@ -51,7 +51,7 @@
 // After a sentinel had ended, the one that took over kept its long watch.
 BOOST_AUTO_TEST_CASE(Watch_ofVmThatBecomesSentinel_isRenewed) {
   startAndSettle(ShortDrainTime);
-  m_Synchronizer->setRole(StoreRole::Sentinel);
+  becomeSentinel();
   processEventsUntil([&] {
     return m_Store->m_RequestCounts["watch servers"] == 2 &&
            m_Store->m_RequestCounts["watch config"] == 2;
@@ -62,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(Watch_ofSentinelLostByStore_isDetectedWithinTwoSeconds) {
   startAndSettle(ShortDrainTime);
   m_Store->m_SuppressesWatchEvents = true;
-  m_Synchronizer->setRole(StoreRole::Sentinel);
+  becomeSentinel();
   processEventsUntil(
       [&] { return m_Store->m_RequestCounts["watch config"] == 2; });
   const TimePoint LostAt = Clock::now();
@@ -71,4 +71,17 @@
   BOOST_TEST((Clock::now() - LostAt < seconds(2)));
 }
 
+// In an outage, all VMs became sentinels in turn and called the store at once.
+BOOST_AUTO_TEST_CASE(Watch_ofVmThatIsSentinelBriefly_isNotRenewed) {
+  startAndSettle(ShortDrainTime);
+  m_Synchronizer->setRole(StoreRole::Sentinel);
+  m_Synchronizer->onTick({}, Clock::now() + seconds(1));
+  m_Synchronizer->setRole(StoreRole::Watcher);
+  m_Synchronizer->onTick({}, Clock::now() + seconds(3));
+  m_Store->put("config", "main", routedConfig(5));
+  processEventsUntil([&] { return m_Recorder.m_Versions.size() == 2; });
+  BOOST_TEST(m_Store->m_RequestCounts["watch config"] == 1);
+  BOOST_TEST(m_Store->m_RequestCounts["watch servers"] == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -109,7 +109,7 @@
 
 BOOST_AUTO_TEST_CASE(Watch_ofSentinelLostByStore_isDetectedSoon) {
   startAndSettle();
-  m_Synchronizer->setRole(StoreRole::Sentinel);
+  becomeSentinel();
   processEventsUntil(
       [&] { return m_Store->m_RequestCounts["watch servers"] == 2; });
   m_Store->m_UnansweredWatchKind = "servers";
--- a/test/support/StateSynchronizerFixture.h
+++ b/test/support/StateSynchronizerFixture.h
@@ -71,6 +71,11 @@
     m_Synchronizer = std::make_unique<platform::StateSynchronizer>(Settings, 1);
     m_Synchronizer->start(m_Recorder);
   }
+  /** Makes the VM a sentinel that has been one for long. */
+  void becomeSentinel() {
+    m_Synchronizer->setRole(StoreRole::Sentinel);
+    m_Synchronizer->onTick({}, Clock::now() + seconds(2));
+  }
   /** Settings of a second VM. */
   RoutedSettings otherSettings() const {
     RoutedSettings Settings;
