--- a/test/correctness/StateCopyImportTest.cpp
+++ b/test/correctness/StateCopyImportTest.cpp
@@ -10,8 +10,6 @@
 using namespace figturn;
 using namespace figturn::platform;
 using namespace figturn::test;
-using figturn::standin::SearcherStandin;
-using figturn::standin::StoreStandin;
 
 namespace {
 
--- a/test/correctness/StateSynchronizerTest.cpp
+++ b/test/correctness/StateSynchronizerTest.cpp
@@ -9,8 +9,6 @@
 using namespace figturn;
 using namespace figturn::platform;
 using namespace figturn::test;
-using figturn::standin::SearcherStandin;
-using figturn::standin::StoreStandin;
 
 namespace {
 
--- a/test/correctness/TargetPoolTest.cpp
+++ b/test/correctness/TargetPoolTest.cpp
@@ -373,7 +373,8 @@
   m_Target.stopReading();
   start({.m_UsesFigturnProtocol = false});
   auto Long = call(1);
-  Long.m_Body = std::string(33554432, 'x');
+  const std::string Part(8388608, 'x');
+  Long.m_Body = Part + Part + Part + Part;
   send(std::move(Long));
   processEventsUntil([&] { return observationCount(Kind::Connected) == 1; });
   m_Pool->limitWrites(Clock::now() + milliseconds(50));
--- a/test/process/FleetChangesTest.cpp
+++ b/test/process/FleetChangesTest.cpp
@@ -86,8 +86,10 @@
   const std::int64_t CallsBefore = CallsOfRemoved();
   for (const std::string &Name : Fleet.targetNames())
     Fleet.controlTarget(Name, {{"delayMs", 700}});
+  constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int I = 0; I < 8; ++I)
+  Callers.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
     Callers.emplace_back(
         [&] { Fleet.vmClient(0).postJson(SearchPath, searchBody("gold")); });
   const auto Deadline = std::chrono::steady_clock::now() + seconds(5);
--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -15,7 +15,6 @@
 using std::chrono::seconds;
 using std::chrono::steady_clock;
 using test::RawClient;
-using test::RoutedAnswer;
 using test::RoutedFleet;
 
 namespace {
