Let the store's stand-in return from an older copy

The stand-in names its era in all replies, as the platform's store does, keeps a copy on request, and returns from it in the next era: what was written since is gone, and its revisions are assigned again. A watch from a revision that it does not have gets 410.

--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -135,16 +135,17 @@
 
 void StoreStandin::put(const std::string &Kind, const std::string &Name,
                        const QJsonObject &Spec) {
-  ++m_Revision;
+  ++m_Content.m_Revision;
   const QJsonObject Object{
-      {"meta", QJsonObject{{"name", toQString(Name)},
-                           {"revision", static_cast<qint64>(m_Revision)},
-                           {"created", 1},
-                           {"finalizers", QJsonArray{}},
-                           {"deleting", false}}},
+      {"meta",
+       QJsonObject{{"name", toQString(Name)},
+                   {"revision", static_cast<qint64>(m_Content.m_Revision)},
+                   {"created", 1},
+                   {"finalizers", QJsonArray{}},
+                   {"deleting", false}}},
       {"spec", Spec},
       {"status", QJsonValue::Null}};
-  m_Objects[Kind][Name] = Object;
+  m_Content.m_Objects[Kind][Name] = Object;
   recordChange(Kind, Object, false);
 }
 
@@ -162,42 +163,54 @@
     if (const std::size_t At = Text.find(Placeholder); At != std::string::npos)
       Text.replace(At, Placeholder.size(), m_RawSpecs[I]);
   }
-  Reply.send(200, Text);
+  reply(Reply, 200, Text);
 }
 
 void StoreStandin::remove(const std::string &Kind, const std::string &Name) {
-  const auto Found = m_Objects[Kind].find(Name);
-  if (Found == m_Objects[Kind].end())
+  const auto Found = m_Content.m_Objects[Kind].find(Name);
+  if (Found == m_Content.m_Objects[Kind].end())
     return;
-  ++m_Revision;
+  ++m_Content.m_Revision;
   QJsonObject Object = Found->second;
-  m_Objects[Kind].erase(Found);
+  m_Content.m_Objects[Kind].erase(Found);
   QJsonObject Meta = Object["meta"].toObject();
-  Meta["revision"] = static_cast<qint64>(m_Revision);
+  Meta["revision"] = static_cast<qint64>(m_Content.m_Revision);
   Object["meta"] = Meta;
   recordChange(Kind, Object, true);
 }
 
 void StoreStandin::recordChange(const std::string &Kind,
                                 const QJsonObject &Object, bool Removed) {
-  m_History.push_back(
-      {m_Revision, Kind,
+  m_Content.m_History.push_back(
+      {m_Content.m_Revision, Kind,
        QJsonObject{{"tombstone", Removed}, {"object", Object}}});
   if (!m_SuppressesWatchEvents)
     m_Watches.remove_if(
         [this](const Watch &Each) { return answerWatch(Each); });
 }
 
+void StoreStandin::returnFromCopy() {
+  m_Content = m_Copy;
+  ++m_Era;
+  dropConnections();
+}
+
+void StoreStandin::reply(SimpleHttpResponder Reply, unsigned Status,
+                         const std::string &Body) const {
+  Reply.send(Status, Body,
+             m_Era > 0 ? fmt::format("Store-Era: {}\r\n", m_Era) : "");
+}
+
 void StoreStandin::compactHistory() {
-  m_History.clear();
-  m_CompactedRevision = m_Revision;
+  m_Content.m_History.clear();
+  m_Content.m_CompactedRevision = m_Content.m_Revision;
 }
 
 void StoreStandin::compactHistoryAndExpireWatches(const std::string &Kind) {
   compactHistory();
   m_Watches.remove_if([&](const Watch &Each) {
     if (Each.m_Kind == Kind)
-      Each.m_Reply.send(410, "{}");
+      reply(Each.m_Reply, 410, "{}");
     return Each.m_Kind == Kind;
   });
 }
@@ -210,12 +223,12 @@
 void StoreStandin::handle(const SimpleHttpRequest &Request,
                           SimpleHttpResponder Reply) {
   if (m_IsDown) {
-    Reply.send(503, "{}");
+    reply(Reply, 503, "{}");
     return;
   }
   constexpr std::string_view Prefix = "/api/objects/";
   if (!Request.m_Path.starts_with(Prefix)) {
-    Reply.send(404, "{}");
+    reply(Reply, 404, "{}");
     return;
   }
   const std::string Rest = Request.m_Path.substr(Prefix.size());
@@ -236,13 +249,13 @@
                         SimpleHttpResponder Reply) {
   ++m_RequestCounts["list " + Kind];
   if (!m_ListText.empty()) {
-    Reply.send(200, m_ListText);
+    reply(Reply, 200, m_ListText);
     return;
   }
   const auto After = Request.m_Query.find("after");
   QJsonArray Items;
   bool More = false;
-  for (const auto &[Name, Object] : m_Objects[Kind]) {
+  for (const auto &[Name, Object] : m_Content.m_Objects[Kind]) {
     if (After != Request.m_Query.end() && Name <= After->second)
       continue;
     More = static_cast<std::size_t>(Items.size()) == m_PageSize;
@@ -252,7 +265,7 @@
   }
   sendObjects({{"items", Items},
                {"more", More},
-               {"current_rev", static_cast<qint64>(m_Revision)}},
+               {"current_rev", static_cast<qint64>(m_Content.m_Revision)}},
               Reply);
 }
 
@@ -264,8 +277,9 @@
     return;
   const Watch Pending{Kind, std::stoull(Request.m_Query.at("watch")), Reply,
                       ++m_WatchCount};
-  if (Pending.m_AfterRevision < m_CompactedRevision)
-    Reply.send(410, "{}");
+  if (Pending.m_AfterRevision < m_Content.m_CompactedRevision ||
+      Pending.m_AfterRevision > m_Content.m_Revision)
+    reply(Reply, 410, "{}");
   else if (m_SuppressesWatchEvents || !answerWatch(Pending))
     m_Watches.push_back(Pending);
   const auto Wait = Request.m_Query.find("wait_ms");
@@ -285,21 +299,21 @@
   m_Watches.erase(Found);
   if (!m_IsDown)
     sendObjects({{"events", QJsonArray{}},
-                 {"current_rev", static_cast<qint64>(m_Revision)}},
+                 {"current_rev", static_cast<qint64>(m_Content.m_Revision)}},
                 Reply);
 }
 
 bool StoreStandin::answerWatch(const Watch &Pending) {
   QJsonArray Events;
-  for (const Change &Each : m_History)
+  for (const Change &Each : m_Content.m_History)
     if (Each.m_Kind == Pending.m_Kind &&
         Each.m_Revision > Pending.m_AfterRevision)
       Events.append(Each.m_Event);
   if (Events.isEmpty())
     return false;
-  sendObjects(
-      {{"events", Events}, {"current_rev", static_cast<qint64>(m_Revision)}},
-      Pending.m_Reply);
+  sendObjects({{"events", Events},
+               {"current_rev", static_cast<qint64>(m_Content.m_Revision)}},
+              Pending.m_Reply);
   return true;
 }
 
@@ -311,13 +325,13 @@
   const bool IsCreate = Request.m_Method == "POST";
   if (IsCreate)
     Name = Body["meta"].toObject()["name"].toString().toStdString();
-  const bool Exists = m_Objects[Kind].contains(Name);
+  const bool Exists = m_Content.m_Objects[Kind].contains(Name);
   if (IsCreate == Exists) {
-    Reply.send(IsCreate ? 409 : 404, "{}");
+    reply(Reply, IsCreate ? 409 : 404, "{}");
     return;
   }
   put(Kind, Name, Body["spec"].toObject());
-  Reply.send(200, encodeJson(m_Objects[Kind][Name]));
+  reply(Reply, 200, encodeJson(m_Content.m_Objects[Kind][Name]));
 }
 
 SearcherStandin::SearcherStandin(std::string Id, std::string Service,
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -101,8 +101,15 @@
   void compactHistoryAndExpireWatches(const std::string &Kind);
   /** Resets all connections and drops pending watches. */
   void dropConnections();
+  /** Keeps a copy of all objects, for returnFromCopy(). */
+  void saveCopy() { m_Copy = m_Content; }
+  /** Returns from the copy saved last: what was written since is gone, and its
+   *  revisions are assigned again, in the next era. */
+  void returnFromCopy();
+  std::uint64_t revision() const { return m_Content.m_Revision; }
 
   bool m_IsDown = false;                ///< Answers each request with 503.
+  std::uint64_t m_Era = 1;              ///< Named in all replies; 0: in none.
   bool m_SuppressesWatchEvents = false; ///< Pending watches get no events.
   /** New watches of this kind are never answered. */
   std::string m_UnansweredWatchKind;
@@ -118,6 +125,13 @@
     std::string m_Kind;
     QJsonObject m_Event;
   };
+  /** What the store holds. */
+  struct Content {
+    std::uint64_t m_Revision = 10;
+    std::uint64_t m_CompactedRevision = 0;
+    std::map<std::string, std::map<std::string, QJsonObject>> m_Objects;
+    std::vector<Change> m_History;
+  };
   struct Watch {
     std::string m_Kind;
     std::uint64_t m_AfterRevision;
@@ -139,11 +153,13 @@
   void recordChange(const std::string &Kind, const QJsonObject &Object,
                     bool Removed);
 
-  std::uint64_t m_Revision = 10;
-  std::uint64_t m_CompactedRevision = 0;
-  std::map<std::string, std::map<std::string, QJsonObject>> m_Objects;
+  /** Sends a reply that names the era. */
+  void reply(SimpleHttpResponder Reply, unsigned Status,
+             const std::string &Body) const;
+
+  Content m_Content;
+  Content m_Copy;                      ///< For returnFromCopy().
   std::vector<std::string> m_RawSpecs; ///< By number in their placeholders.
-  std::vector<Change> m_History;
   std::list<Watch> m_Watches;
   std::uint64_t m_WatchCount = 0;
   QObject m_Context;
