--- a/test/support/StateSynchronizerFixture.h
+++ b/test/support/StateSynchronizerFixture.h
@@ -8,6 +8,7 @@
 #include "support/FakeTarget.h"
 #include "support/RoutedFleet.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,6 +24,8 @@
   }
   void onTargets(std::vector<TargetEntry> Entries, TimePoint) override {
     m_Listings.push_back(Entries.size());
+    for (const TargetEntry &Each : Entries)
+      m_IsDraining[Each.m_Instance.m_Name.value()] = Each.m_Draining;
   }
   void onTarget(TargetEntry Entry, TimePoint) override {
     m_Changed.push_back(Entry.m_Instance.m_Name.value());
@@ -42,7 +45,8 @@
   std::vector<std::size_t> m_Listings;
   std::vector<std::string> m_Changed;
   std::vector<std::string> m_Removed;
-  TimePoint m_PresentAt; ///< Of the last removal.
+  std::map<std::string, bool> m_IsDraining; ///< By the last listing.
+  TimePoint m_PresentAt;                    ///< Of the last removal.
   std::set<DataCentreName> m_Evacuated;
   std::vector<std::string> m_Vms;
 };
