Keep state consistent when the store returns from an older copy

What callers saw: after a return of the store, VMs in touch answered 404 on routes that were added, served dropped ones, and called targets that had left, until the store's counter had passed the last known revision.

Cause: a revision alone doesn't order the states of a store that assigns revisions a second time. Each object under the known revision was ignored; a watch went on from a revision that had been assigned again; and what the older copy lacked or brought back counted as removed or present.

The (era, revision) pair is now the order, in watches, listings, copies between VMs and gossip. The configuration in force stays until a higher number comes, and VMs copy the highest number known to any of them; none denies by a configuration that it knows to be older than a peer's. Revisions without an era, of VMs of the release before, count as ones of the current era.

--- a/src/cli/StatusCommand.cpp
+++ b/src/cli/StatusCommand.cpp
@@ -48,6 +48,9 @@
              formatCell(Status, "vm"), formatCell(Status, "ready"),
              formatCell(Status, "configVersion"),
              formatCell(Status, "followsPlatform"));
+  fmt::print("  store: era {}, returned {} times since this VM's start\n",
+             formatCell(Status, "storeEra"),
+             formatCell(Status, "storeReturns"));
   printRows(Status.value("vms").toArray(), "other VMs",
             {"vm", "phase", "configVersion"});
   printRows(Status.value("targets").toArray(), "targets",
--- a/src/coordination/FleetView.cpp
+++ b/src/coordination/FleetView.cpp
@@ -43,7 +43,11 @@
   m_Self.m_CanReachStore = CanReachStore;
   if (Version == StateVersion())
     return;
-  mergeStateSource({.m_Address = m_Self.m_StateAddress, .m_Version = Version});
+  // A configuration that this VM has seen but can't use isn't offered.
+  StateVersion Offered = Version;
+  Offered.m_ConfigNumber =
+      std::min(Version.m_ConfigNumber, m_Self.m_ConfigVersion);
+  mergeStateSource({.m_Address = m_Self.m_StateAddress, .m_Version = Offered});
   retainLatestStateSources();
 }
 
@@ -58,8 +62,13 @@
 }
 
 void FleetView::retainLatestStateSources() {
-  constexpr std::array Fields{&StateVersion::m_Config, &StateVersion::m_Targets,
-                              &StateVersion::m_Evacuations};
+  constexpr std::array<StateRevision (*)(const StateVersion &), 4> Fields{
+      [](const StateVersion &Each) { return Each.m_Config; },
+      [](const StateVersion &Each) { return Each.m_Targets; },
+      [](const StateVersion &Each) { return Each.m_Evacuations; },
+      [](const StateVersion &Each) {
+        return StateRevision(Each.m_ConfigNumber);
+      }};
   // Each VM retains other sources of the same version, so that requests for
   // copies are spread over all of them.
   std::shuffle(m_StateSources.begin(), m_StateSources.end(), m_Random);
@@ -68,8 +77,8 @@
   for (const auto Field : Fields) {
     std::iota(Order.begin(), Order.end(), std::size_t{0});
     std::stable_sort(Order.begin(), Order.end(), [&](auto Left, auto Right) {
-      return m_StateSources[Left].m_Version.*Field >
-             m_StateSources[Right].m_Version.*Field;
+      return Field(m_StateSources[Left].m_Version) >
+             Field(m_StateSources[Right].m_Version);
     });
     for (std::size_t I = 0;
          I < std::min(Order.size(), m_Options.m_MaxStateSources); ++I)
@@ -91,6 +100,14 @@
   return Newer[m_Random() % Newer.size()];
 }
 
+bool FleetView::isNewerConfigKnown() const {
+  return std::any_of(m_StateSources.begin(), m_StateSources.end(),
+                     [this](const StateSource &Each) {
+                       return Each.m_Version.m_ConfigNumber >
+                              m_State.m_ConfigNumber;
+                     });
+}
+
 void FleetView::removeStateSource(const std::string &Address) {
   std::erase_if(m_StateSources, [&](const StateSource &Each) {
     return Each.m_Address == Address;
@@ -221,8 +238,10 @@
       NewVms.push_back(Record.m_Vm);
   for (const VmHeartbeat &Heartbeat : Payload.m_Heartbeats)
     mergeHeartbeat(Heartbeat, Now);
-  for (const StateSource &Source : Payload.m_StateSources)
+  for (StateSource Source : Payload.m_StateSources) {
+    Source.m_Version.assumeEras(m_State);
     mergeStateSource(Source);
+  }
   retainLatestStateSources();
   return NewVms;
 }
--- a/src/coordination/FleetView.h
+++ b/src/coordination/FleetView.h
@@ -168,6 +168,8 @@
   /** Selects a VM whose copy of \p Part is newer than this VM's; none if no
    *  such VM is known. */
   std::optional<StateSource> selectNewerStateSource(StatePart Part);
+  /** Whether another VM holds a configuration with a higher number. */
+  bool isNewerConfigKnown() const;
   /** Removes \p Address, which did not return its copy. */
   void removeStateSource(const std::string &Address);
   /** Sets this VM's event loop lag. */
--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -53,6 +53,12 @@
   std::uint64_t m_Failures = 0;
 };
 
+/** Eras of the platform's store, as this VM knows them. */
+struct StoreEraStatus {
+  std::uint64_t m_Era = 0;   ///< The latest; 0 if the store names none.
+  std::uint64_t m_Rises = 0; ///< How often it rose since this VM's start.
+};
+
 /** Relates the times in another VM's copy of the state to this VM's clock. */
 struct CopyTimes {
   TimePoint m_RequestedAt; ///< When this VM requested the copy.
@@ -112,6 +118,7 @@
   /** Called periodically. */
   virtual void onTick(const FleetAgreement &Agreement, TimePoint Now) = 0;
   virtual const PlatformCounters &counters() const = 0;
+  virtual StoreEraStatus storeEra() const = 0;
 };
 
 } // namespace figturn
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -43,6 +43,10 @@
  *  killed. */
 constexpr double DrainServingFraction = 0.5;
 
+/** Time from the start for which a VM that knows that a peer holds a newer
+ *  configuration waits for it before it counts as ready. */
+constexpr seconds MaxConfigWait{3};
+
 constexpr unsigned StatusNotFound = 404;
 constexpr const char *StatusPath = "/v1/status";
 constexpr const char *MetricsPath = "/metrics";
@@ -93,9 +97,7 @@
               Seed),
       m_Context(Settings, m_Platform.m_Headers, m_Fleet, Seed),
       m_Frontend(m_Context,
-                 [this](TimePoint Now) {
-                   return m_Platform.m_Adapter->isConfigProven(Now);
-                 }),
+                 [this](TimePoint Now) { return isConfigProven(Now); }),
       m_Gossip(m_Fleet, m_Context.crashQuarantine()),
       m_DirectoryPolicy({}, Seed),
       m_CallerConnections(std::make_shared<CallerConnections>(
@@ -138,9 +140,7 @@
   m_CallerServer = makeServer(
       m_Settings.m_CallerAddress,
       [this](const HttpExchangePtr &Each) { m_Frontend.handle(Each); },
-      [this](TimePoint Now) {
-        return m_Platform.m_Adapter->isConfigProven(Now);
-      });
+      [this](TimePoint Now) { return isConfigProven(Now); });
   m_ReadinessServer = makeServer(
       m_Settings.m_ReadinessAddress, [this](const HttpExchangePtr &Each) {
         Each->respond(m_Platform.m_Readiness(Each->request(), isReady()));
@@ -190,10 +190,15 @@
 }
 
 bool RoutedNode::isReady() const {
-  return m_Context.config() && m_HasTargets &&
+  return m_Context.config() && m_HasTargets && !m_AwaitsConfig &&
          m_Drain.step() == DrainStep::None;
 }
 
+bool RoutedNode::isConfigProven(TimePoint Now) const {
+  return m_Platform.m_Adapter->isConfigProven(Now) &&
+         !m_Fleet.isNewerConfigKnown();
+}
+
 // Updates from the platform.
 
 void RoutedNode::onConfig(RoutingConfigPtr Config) {
@@ -294,6 +299,8 @@
 
 void RoutedNode::onFleetChange() {
   const TimePoint Now = Clock::now();
+  m_AwaitsConfig = !m_WasReady && m_Fleet.isNewerConfigKnown() &&
+                   Now - m_StartedAt < MaxConfigWait;
   const bool Ready = isReady();
   const VmPhase Phase = m_Drain.step() != DrainStep::None ? VmPhase::Stopping
                         : Ready                           ? VmPhase::Serving
@@ -437,7 +444,9 @@
        {"ready", isReady()},
        {"configVersion", toJson(m_Fleet.self().m_ConfigVersion)},
        {"followsPlatform", m_Platform.m_Adapter->isCurrent()},
-       {"configProven", m_Platform.m_Adapter->isConfigProven(Now)},
+       {"configProven", isConfigProven(Now)},
+       {"storeEra", toJson(m_Platform.m_Adapter->storeEra().m_Era)},
+       {"storeReturns", toJson(m_Platform.m_Adapter->storeEra().m_Rises)},
        {"vms", Vms},
        {"targets", Targets}});
 }
@@ -451,7 +460,9 @@
   };
   Add("config_version", m_Fleet.self().m_ConfigVersion);
   Add("follows_platform", m_Platform.m_Adapter->isCurrent() ? 1 : 0);
-  Add("config_proven", m_Platform.m_Adapter->isConfigProven(Now) ? 1 : 0);
+  Add("config_proven", isConfigProven(Now) ? 1 : 0);
+  Add("store_era", m_Platform.m_Adapter->storeEra().m_Era);
+  Add("store_returns_total", m_Platform.m_Adapter->storeEra().m_Rises);
   for (const auto &[Key, Count] : m_CallerServer->refusalCounts())
     Add(fmt::format("unread_requests_total{{status=\"{}\",cause=\"{}\"}}",
                     Key.first, Key.second),
--- a/src/node/RoutedNode.h
+++ b/src/node/RoutedNode.h
@@ -72,6 +72,9 @@
   ServerPtr makeServer(const std::string &Address, HttpHandler Handler,
                        std::function<bool(TimePoint Now)> AreLimitsKnown);
   bool isReady() const;
+  /** Whether the configuration in force is shown to be the newest one, and no
+   *  other VM holds a newer one. */
+  bool isConfigProven(TimePoint Now) const;
   void handleRegistryChange(const RegistryChange &Change,
                             std::string_view Cause);
   /** Drops targets that are missing for too long, now and when due. */
@@ -101,6 +104,7 @@
   ServerPtr m_MetricsServer;
   StateCopier m_StateCopier;
   bool m_HasTargets = false;
+  bool m_AwaitsConfig = false; ///< Before it is ready, of a peer.
   bool m_WasReady = false;
   TimePoint m_StartedAt;
   TimePoint m_NextVmRefreshAt;
--- a/src/protocol/Gossip.capnp
+++ b/src/protocol/Gossip.capnp
@@ -34,6 +34,12 @@
   config @1 :UInt64;
   targets @2 :UInt64;
   evacuations @3 :UInt64;
+  configEra @4 :UInt64;
+  # Eras of the store that the revisions belong to.
+  targetsEra @5 :UInt64;
+  evacuationsEra @6 :UInt64;
+  configNumber @7 :UInt64;
+  # The operator's number of the configuration.
 }
 
 struct GossipCrash {
--- a/src/protocol/GossipCodec.cpp
+++ b/src/protocol/GossipCodec.cpp
@@ -76,9 +76,14 @@
   for (unsigned I = 0; I < Sources.size(); ++I) {
     const StateSource &Source = Payload.m_StateSources[I];
     Sources[I].setAddress(Source.m_Address);
-    Sources[I].setConfig(Source.m_Version.m_Config);
-    Sources[I].setTargets(Source.m_Version.m_Targets);
-    Sources[I].setEvacuations(Source.m_Version.m_Evacuations);
+    const StateVersion &Version = Source.m_Version;
+    Sources[I].setConfig(Version.m_Config.m_Number);
+    Sources[I].setConfigEra(Version.m_Config.m_Era);
+    Sources[I].setTargets(Version.m_Targets.m_Number);
+    Sources[I].setTargetsEra(Version.m_Targets.m_Era);
+    Sources[I].setEvacuations(Version.m_Evacuations.m_Number);
+    Sources[I].setEvacuationsEra(Version.m_Evacuations.m_Era);
+    Sources[I].setConfigNumber(Version.m_ConfigNumber);
   }
   auto Crashes =
       Root.initCrashes(static_cast<unsigned>(Payload.m_Crashes.size()));
@@ -113,9 +118,12 @@
     for (const auto Source : Root.getHolders())
       Payload.m_StateSources.push_back(
           {.m_Address = text(Source.getAddress()),
-           .m_Version = {.m_Config = Source.getConfig(),
-                         .m_Targets = Source.getTargets(),
-                         .m_Evacuations = Source.getEvacuations()}});
+           .m_Version = {
+               .m_Config = {Source.getConfigEra(), Source.getConfig()},
+               .m_Targets = {Source.getTargetsEra(), Source.getTargets()},
+               .m_Evacuations = {Source.getEvacuationsEra(),
+                                 Source.getEvacuations()},
+               .m_ConfigNumber = Source.getConfigNumber()}});
     for (const auto Crash : Root.getCrashes())
       Payload.m_Crashes.push_back(
           {.m_Request = Fingerprint(Crash.getRequest()),
--- a/test/correctness/PlatformDecoderTest.cpp
+++ b/test/correctness/PlatformDecoderTest.cpp
@@ -107,7 +107,7 @@
   const auto Decoded = decodeObject(
       {{"meta", QJsonObject{{"name", "n"}, {"revision", 9}}}, {"spec", 5}});
   BOOST_REQUIRE(Decoded.has_value());
-  BOOST_TEST(Decoded->m_Revision == 9U);
+  BOOST_TEST(Decoded->m_Revision.m_Number == 9U);
   BOOST_TEST(Decoded->m_Spec.isEmpty());
 }
 
--- a/test/correctness/ReturnedStoreTest.cpp
+++ b/test/correctness/ReturnedStoreTest.cpp
@@ -230,4 +230,21 @@
       [&] { return m_Store->m_RequestCounts["write figturn-vms"] == 2; });
 }
 
+BOOST_AUTO_TEST_CASE(Reply_thatNamesNoEraOrAnEarlierOne_countsAsCurrent) {
+  startAndSettle(ShortDrainTime);
+  for (const std::uint64_t Era : {0U, 1U}) {
+    m_Store->m_Era = 2;
+    m_Store->put("config", "main", routedConfig(4 + 2 * static_cast<int>(Era)));
+    processEventsUntil([&] { return m_Synchronizer->storeEra().m_Era == 2U; });
+    m_Store->m_Era = Era;
+    const int Version = 5 + 2 * static_cast<int>(Era);
+    m_Store->put("config", "main", routedConfig(Version));
+    processEventsUntil([&] {
+      return m_Recorder.m_Versions.back() ==
+             static_cast<std::uint64_t>(Version);
+    });
+  }
+  BOOST_TEST(m_Synchronizer->storeEra().m_Rises == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/StateCopyImportTest.cpp
+++ b/test/correctness/StateCopyImportTest.cpp
@@ -116,7 +116,7 @@
                                                    {"count", 3}}}});
   m_Synchronizer->importState(Other, {.m_RequestedAt = Clock::now()});
   BOOST_TEST(m_Recorder.m_Versions.size() == 1U);
-  BOOST_TEST(m_Synchronizer->stateVersion().m_Config < 1000U);
+  BOOST_TEST(m_Synchronizer->stateVersion().m_Config.m_Number < 1000U);
   const std::string Query = m_Synchronizer->stateQuery(StatePart::Config);
   BOOST_TEST(Query.find("configVersion=0") != std::string::npos);
   m_Synchronizer->importState(
--- a/test/correctness/StateSpreadReplayTest.cpp
+++ b/test/correctness/StateSpreadReplayTest.cpp
@@ -114,8 +114,8 @@
   }
 
   template <typename Function>
-  void change(std::uint64_t StateVersion::*Part, Function Apply) {
-    const std::uint64_t Before = m_Synchronizer->stateVersion().*Part;
+  void change(StateRevision StateVersion::*Part, Function Apply) {
+    const StateRevision Before = m_Synchronizer->stateVersion().*Part;
     Apply();
     processEventsUntil(
         [&] { return m_Synchronizer->stateVersion().*Part > Before; });
--- a/test/support/StateSpreadReplay.h
+++ b/test/support/StateSpreadReplay.h
@@ -66,8 +66,8 @@
   }
 
   /** Number of VMs whose version in \p Part is lower than \p Revision. */
-  std::size_t countBehind(std::uint64_t StateVersion::*Part,
-                          std::uint64_t Revision) const {
+  std::size_t countBehind(StateRevision StateVersion::*Part,
+                          StateRevision Revision) const {
     return static_cast<std::size_t>(
         std::count_if(m_Vms.begin(), m_Vms.end(), [&](const Vm &Each) {
           return Each.m_Version.*Part < Revision;
