--- a/test/correctness/StateCopyImportTest.cpp
+++ b/test/correctness/StateCopyImportTest.cpp
@@ -202,6 +202,30 @@
   Follower.stop();
 }
 
+// A removal was dated by a watch that had lost its connection, and the target
+// retained for too long.
+BOOST_AUTO_TEST_CASE(
+    Removal_inACopy_whileTheOwnWatchIsSilent_isDatedByTheSender) {
+  startAndSettle();
+  m_Store->m_UnansweredWatchKind = "servers";
+  PlatformRecorder OtherRecorder;
+  StateSynchronizer Other(otherSettings(), 2);
+  Other.start(OtherRecorder);
+  processEventsUntil([&] {
+    return Other.isCurrent() && m_Store->m_RequestCounts["watch servers"] == 2;
+  });
+  const std::string Query = Other.stateQuery(StatePart::Registry);
+  m_Store->remove("servers", "i-1");
+  processEventsUntil([&] { return !m_Recorder.m_Removed.empty(); });
+  const TimePoint Removed = Clock::now();
+  for (int I = 1; I <= 20; ++I)
+    Other.onTick({}, Removed + I * milliseconds(200));
+  Other.importState(m_Synchronizer->exportState(Query), copiedNow());
+  BOOST_TEST(OtherRecorder.m_Removed == std::vector<std::string>{"i-1"});
+  BOOST_TEST((OtherRecorder.m_PresentAt <= Removed));
+  Other.stop();
+}
+
 BOOST_AUTO_TEST_CASE(Removal_inAFullCopy_isDatedByTheSender) {
   startAndSettle();
   const std::string Older = m_Synchronizer->exportState("targets=0");
