Read the store sooner where the watch is silent and peers don't help

What callers saw: a change was not in force after three seconds on a VM whose watch had lost its connection and whose source of copies was frozen; by the constants 3.5 to 3.9 s for the configuration. A VM that a peer answered without anything newer never read the store, as each complete copy restarted the wait.

A VM that watches the store itself reads it after being behind for one second, and a copy that holds nothing newer no longer restarts the wait.

--- a/src/coordination/StateCopySchedule.cpp
+++ b/src/coordination/StateCopySchedule.cpp
@@ -27,7 +27,8 @@
   }
   if (!m_BehindSince) {
     m_BehindSince = Now;
-    m_NextStoreRead = Now + m_Options.m_StoreReadDelay;
+    m_NextStoreRead = Now + (HasCurrentWatch ? m_Options.m_WatcherStoreReadDelay
+                                             : m_Options.m_StoreReadDelay);
   }
   if (Now >= m_NextStoreRead) {
     m_NextStoreRead = Now + m_Options.m_StoreReadDelay;
--- a/src/coordination/StateCopySchedule.h
+++ b/src/coordination/StateCopySchedule.h
@@ -28,6 +28,9 @@
   /** A VM that is behind for this long, with no copy received, reads the part
    *  from the platform: its peers can't serve it. */
   Duration m_StoreReadDelay = milliseconds(1500);
+  /** The same for a VM that watches the platform itself: its watch is silent,
+   *  and the peer may be, too. */
+  Duration m_WatcherStoreReadDelay = milliseconds(1000);
 };
 
 /** Options for targets and evacuations. */
@@ -45,7 +48,8 @@
 /** How a request to a peer ended. */
 enum class CopyOutcome : std::uint8_t {
   Complete,
-  Deferred, ///< The peer has too many copies to send.
+  Unchanged, ///< The copy held nothing newer.
+  Deferred,  ///< The peer has too many copies to send.
   Failed
 };
 
--- a/src/node/StateCopier.cpp
+++ b/src/node/StateCopier.cpp
@@ -95,7 +95,7 @@
 void StateCopier::onReply(PartCopy &Copy, const std::string &Address,
                           const PeerReply &Reply, TimePoint RequestedAt) {
   const TimePoint Now = Clock::now();
-  const CopyOutcome Outcome = copyOutcome(Reply);
+  CopyOutcome Outcome = copyOutcome(Reply);
   count(Outcome);
   logEvent(Event::StateCopyEnded,
            "part={} from={} status={} error={} bytes={} ms={}",
@@ -103,22 +103,31 @@
            Reply.m_Error ? Reply.m_Error.message() : "none",
            Reply.m_Body.size(),
            std::chrono::duration_cast<milliseconds>(Now - RequestedAt).count());
+  if (Outcome == CopyOutcome::Complete &&
+      !importCopy(Copy.m_Part, Reply, RequestedAt))
+    Outcome = CopyOutcome::Unchanged;
   Copy.m_Schedule.onEnded(Outcome, Now);
   if (Outcome == CopyOutcome::Failed)
     m_Fleet.removeStateSource(Address);
-  if (Outcome != CopyOutcome::Complete)
-    return;
+  if (Outcome == CopyOutcome::Complete)
+    m_OnImported();
+}
+
+bool StateCopier::importCopy(StatePart Part, const PeerReply &Reply,
+                             TimePoint RequestedAt) {
+  const StateVersion Before = m_Adapter.stateVersion();
   // VMs of earlier releases send copies that are not compressed.
   const auto State = decompress(Reply.m_Body, MaxCopyBytes);
   m_Adapter.importState(
       State ? *State : Reply.m_Body,
       {.m_RequestedAt = RequestedAt, .m_SentAt = decodeSentAt(Reply)});
-  m_OnImported();
+  return m_Adapter.stateVersion().isNewer(Part, Before);
 }
 
 void StateCopier::count(CopyOutcome Outcome) {
   switch (Outcome) {
   case CopyOutcome::Complete:
+  case CopyOutcome::Unchanged:
     ++m_Counters.m_Complete;
     break;
   case CopyOutcome::Deferred:
--- a/src/node/StateCopier.h
+++ b/src/node/StateCopier.h
@@ -62,6 +62,9 @@
   void requestCopy(PartCopy &Copy, const StateSource &Source, TimePoint Now);
   void onReply(PartCopy &Copy, const std::string &Address,
                const PeerReply &Reply, TimePoint RequestedAt);
+  /** Imports a copy; returns whether it held newer state. */
+  bool importCopy(StatePart Part, const PeerReply &Reply,
+                  TimePoint RequestedAt);
   void count(CopyOutcome Outcome);
   const std::string &render(const std::string &Query);
 
--- a/test/correctness/StateCopyScheduleTest.cpp
+++ b/test/correctness/StateCopyScheduleTest.cpp
@@ -14,7 +14,8 @@
   StateCopySchedule m_Schedule{{.m_WatcherDelay = milliseconds(700),
                                 .m_MinInterval = milliseconds(300),
                                 .m_DeferredDelay = milliseconds(100),
-                                .m_StoreReadDelay = milliseconds(1500)}};
+                                .m_StoreReadDelay = milliseconds(1500),
+                                .m_WatcherStoreReadDelay = milliseconds(1000)}};
   TimePoint m_Now = Start;
 
   CopyStep next(bool IsBehind = true, bool HasCurrentWatch = false) {
@@ -65,6 +66,23 @@
   BOOST_TEST((next(true, true) == CopyStep::AskPeer));
 }
 
+// With a silent watch and a frozen peer, a change took effect after 3.5 s.
+BOOST_AUTO_TEST_CASE(Watcher_whosePeerIsSilent_readsTheStoreAfterASecond) {
+  int Reads = 0;
+  for (const TimePoint End = m_Now + milliseconds(1000); m_Now <= End;
+       m_Now += milliseconds(50))
+    Reads += next(true, true) == CopyStep::ReadStore ? 1 : 0;
+  BOOST_TEST(Reads == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CopyThatBringsNothing_doesNotPostponeTheStoreRead) {
+  BOOST_TEST(countSteps(CopyStep::ReadStore, CopyOutcome::Complete,
+                        milliseconds(5000)) == 0);
+  m_Schedule.next(false, false, m_Now);
+  BOOST_TEST(countSteps(CopyStep::ReadStore, CopyOutcome::Unchanged,
+                        milliseconds(2000)) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(VmThatItsPeersDoNotServe_readsTheStore) {
   BOOST_TEST(countSteps(CopyStep::ReadStore, CopyOutcome::Failed,
                         milliseconds(1500)) == 0);
