Measure how late a VM learns what the store acknowledged

Nothing told by which way a VM learned a version, how old its last proof was then, or that an object was ignored for a lower revision.

--- a/src/node/PlatformAdapter.h
+++ b/src/node/PlatformAdapter.h
@@ -119,6 +119,8 @@
   virtual void onTick(const FleetAgreement &Agreement, TimePoint Now) = 0;
   virtual const PlatformCounters &counters() const = 0;
   virtual StoreEraStatus storeEra() const = 0;
+  /** Further counters in the Prometheus text format. */
+  virtual std::string metricsText() const = 0;
 };
 
 } // namespace figturn
--- a/src/node/RoutedNode.cpp
+++ b/src/node/RoutedNode.cpp
@@ -454,7 +454,8 @@
 std::string RoutedNode::metricsText() const {
   const TimePoint Now = Clock::now();
   const PlatformCounters &Calls = m_Platform.m_Adapter->counters();
-  std::string Text = m_Context.metrics().text();
+  std::string Text =
+      m_Context.metrics().text() + m_Platform.m_Adapter->metricsText();
   const auto Add = [&Text](std::string_view Name, auto Value) {
     Text += fmt::format("figturn_{} {}\n", Name, Value);
   };
