Let the stand-ins' targets of a deployment write heartbeats

In the field each target writes its entry every 1.2 s; in a played deployment the entries were written once. Targets now write them with a rising sequence and the time of their start; an entry lapses after three intervals without one, at times also while the store is down. A crashed target comes back with a later start. Targets that leave serve on for 1.5 to 20 s after their drain time. The store's stand-in gives no revision and no event to a change of nothing or of an entry's sequence alone, as the protocol says.

--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -22,7 +22,11 @@
 constexpr milliseconds DrainTime{3000};
 constexpr milliseconds ConfigTime{3000};
 /** How long a target goes on serving after its drain time. */
-constexpr milliseconds ServesOn{1500};
+constexpr milliseconds LeastServesOn{1500};
+constexpr milliseconds MostServesOn{20000};
+constexpr milliseconds HeartbeatInterval{1200};
+constexpr milliseconds EntryLifetime = 3 * HeartbeatInterval;
+constexpr milliseconds HeartbeatTick{50};
 /** Time within which an answer that names a target as leaving is passed on. */
 constexpr milliseconds PassOnTime{500};
 constexpr seconds StoreQuietTime{9};
@@ -171,13 +175,35 @@
     };
     Created->m_Searcher = Searcher.get();
     m_Fleet.m_Searchers.push_back(std::move(Searcher));
-    m_Fleet.m_Store->put("servers", Created->m_Id,
-                         Created->m_Searcher->entry());
+    writeEntry(*Created, steady_clock::now());
+    m_Targets.push_back(std::move(Added));
   });
-  m_Targets.push_back(std::move(Added));
   return *Created;
 }
 
+void DeploymentRun::writeEntry(Target &Writer, SteadyTime Now) {
+  ++Writer.m_Searcher->m_Sequence;
+  Writer.m_NextHeartbeat = Now + HeartbeatInterval;
+  Writer.m_LapsesAt = Now + EntryLifetime;
+  m_Fleet.m_Store->put(
+      "servers", Writer.m_Id,
+      Writer.m_Searcher->entry(Writer.m_IsLeaving ? "draining" : "ready"));
+}
+
+void DeploymentRun::writeHeartbeats(SteadyTime Now) {
+  for (const auto &Each : m_Targets) {
+    if (!Each->m_WritesEntry)
+      continue;
+    const bool IsStoreDown = m_Fleet.m_Store->m_IsDown;
+    if (Now >= std::max(Each->m_DownUntil, Each->m_NextHeartbeat) &&
+        !IsStoreDown)
+      writeEntry(*Each, Now);
+    // Removing an entry that has lapsed before changes nothing.
+    if (Now >= Each->m_LapsesAt && (!IsStoreDown || m_LapsesWhileDown))
+      m_Fleet.m_Store->remove("servers", Each->m_Id);
+  }
+}
+
 void DeploymentRun::publishConfig() {
   QJsonObject Config = test::routedConfig(1);
   QJsonArray Routes;
@@ -455,6 +481,14 @@
       *Last = Now;
     });
     Ticks->start(LagInterval);
+    for (const auto &Each : m_Targets)
+      Each->m_NextHeartbeat =
+          steady_clock::now() +
+          randomTime(0, static_cast<int>(HeartbeatInterval.count()));
+    auto *Heartbeats = new QTimer(m_Context.get());
+    QObject::connect(Heartbeats, &QTimer::timeout, Heartbeats,
+                     [this] { writeHeartbeats(steady_clock::now()); });
+    Heartbeats->start(HeartbeatTick);
   });
   for (std::size_t I = 0; I < m_Options.m_CallerCount; ++I)
     m_Callers.emplace_back([this, I] { runCaller(I); });
@@ -646,7 +680,10 @@
   if (m_Random() % 2 == 0)
     for (int Try = 0; Try < 50 && Chosen->m_Service != LookupService; ++Try)
       Chosen = m_Targets[m_Random() % m_Targets.size()].get();
-  return Chosen->m_LeftAt == SteadyTime::max() ? Chosen : nullptr;
+  return Chosen->m_LeftAt == SteadyTime::max() &&
+                 Chosen->m_DownUntil < steady_clock::now()
+             ? Chosen
+             : nullptr;
 }
 
 void DeploymentRun::leave(bool Announced) {
@@ -655,23 +692,36 @@
     return;
   addTarget(Leaving->m_Service);
   m_Fleet.runOnStandinThread([&] {
+    const SteadyTime Now = steady_clock::now();
+    Leaving->m_IsLeaving = Announced;
     if (Announced)
-      m_Fleet.m_Store->put("servers", Leaving->m_Id,
-                           Leaving->m_Searcher->entry("draining"));
+      writeEntry(*Leaving, Now);
     else
-      m_Fleet.m_Store->remove("servers", Leaving->m_Id);
+      removeEntry(*Leaving);
     Leaving->m_LeftAt = steady_clock::now();
     Leaving->m_LeftWhileStable = m_Touch.isStoreStable(Leaving->m_LeftAt);
-    Leaving->m_IsLeaving = Announced;
   });
+  const milliseconds ServesOn =
+      randomTime(static_cast<int>(LeastServesOn.count()),
+                 static_cast<int>(MostServesOn.count()));
+  // In half of the cases the entry is gone before the target is.
+  if (m_Random() % 2 == 0)
+    after(DrainTime + LeastServesOn, [this, Leaving] {
+      m_Fleet.runOnStandinThread([&] { removeEntry(*Leaving); });
+    });
   after(DrainTime + ServesOn, [this, Leaving] {
     m_Fleet.runOnStandinThread([&] {
-      m_Fleet.m_Store->remove("servers", Leaving->m_Id);
+      removeEntry(*Leaving);
       Leaving->m_Searcher->server().crash(std::chrono::hours(1));
     });
   });
 }
 
+void DeploymentRun::removeEntry(Target &Removed) {
+  Removed.m_WritesEntry = false;
+  m_Fleet.m_Store->remove("servers", Removed.m_Id);
+}
+
 void DeploymentRun::drainTarget() { leave(true); }
 
 void DeploymentRun::removeTarget() { leave(false); }
@@ -690,9 +740,14 @@
   Target *Crashed = randomReadyTarget();
   if (!Crashed)
     return;
-  const milliseconds Downtime = randomTime(500, 4500);
-  m_Fleet.runOnStandinThread(
-      [&] { Crashed->m_Searcher->server().crash(Downtime); });
+  const milliseconds Downtime = randomTime(500, 8000);
+  m_Fleet.runOnStandinThread([&] {
+    Crashed->m_Searcher->server().crash(Downtime);
+    Crashed->m_DownUntil = steady_clock::now() + Downtime;
+    Crashed->m_NextHeartbeat = Crashed->m_DownUntil;
+    Crashed->m_Searcher->m_Sequence = 0;
+    Crashed->m_Searcher->m_Born += 1000 + Downtime.count();
+  });
 }
 
 // The store.
@@ -733,8 +788,11 @@
 
 void DeploymentRun::takeStoreDown() {
   disruptStore(randomTime(1000, 4500), [this](bool IsDisrupted) {
-    m_Fleet.runOnStandinThread(
-        [&] { m_Fleet.m_Store->m_IsDown = IsDisrupted; });
+    const bool Lapses = m_Random() % 2 == 0;
+    m_Fleet.runOnStandinThread([&] {
+      m_LapsesWhileDown = Lapses;
+      m_Fleet.m_Store->m_IsDown = IsDisrupted;
+    });
   });
 }
 
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -69,6 +69,10 @@
     double m_Slowness = 1;
     bool m_NamesLeaving = false; ///< Its answers say that it leaves.
     bool m_IsLeaving = false;
+    bool m_WritesEntry = true; ///< Sends heartbeats, unless it is down.
+    SteadyTime m_NextHeartbeat;
+    SteadyTime m_DownUntil; ///< Crashed until then.
+    SteadyTime m_LapsesAt;  ///< Its entry, without another heartbeat.
     SteadyTime m_PausePhase;
     std::deque<std::function<void()>> m_Queue;
     SteadyTime m_LeftAt = SteadyTime::max(); ///< Acknowledged by the store.
@@ -92,6 +96,11 @@
   static const std::vector<Step> &steps();
 
   void startVm();
+  /** Writes the heartbeats that are due and removes entries that lapse. */
+  void writeHeartbeats(SteadyTime Now);
+  void writeEntry(Target &Writer, SteadyTime Now);
+  /** Removes the entry for good: the target writes no further heartbeats. */
+  void removeEntry(Target &Removed);
   Target &addTarget(const std::string &Service);
   void publishConfig();
   void runCaller(std::size_t Number);
@@ -148,6 +157,7 @@
   std::vector<std::unique_ptr<Target>> m_Targets;
   std::size_t m_TargetsCreated = 0;
   bool m_IsCrowded = false;
+  bool m_LapsesWhileDown = false; ///< Used on the stand-ins' thread.
   SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
   std::multimap<SteadyTime, std::function<void()>> m_Tasks;
 
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -27,6 +27,15 @@
   return QString::fromStdString(Text);
 }
 
+/** Whether replacing \p Old by \p New is a change for those who watch. */
+bool isChange(const std::string &Kind, QJsonObject Old, QJsonObject New) {
+  if (Kind == "servers") {
+    Old.remove("sequence");
+    New.remove("sequence");
+  }
+  return Old != New;
+}
+
 } // namespace
 
 std::string SimpleHttpRequest::header(const std::string &Name) const {
@@ -135,6 +144,13 @@
 
 void StoreStandin::put(const std::string &Kind, const std::string &Name,
                        const QJsonObject &Spec) {
+  auto &Objects = m_Content.m_Objects[Kind];
+  if (const auto Found = Objects.find(Name); Found != Objects.end()) {
+    if (!isChange(Kind, Found->second["spec"].toObject(), Spec)) {
+      Found->second["spec"] = Spec;
+      return;
+    }
+  }
   ++m_Content.m_Revision;
   const QJsonObject Object{
       {"meta",
@@ -145,7 +161,7 @@
                    {"deleting", false}}},
       {"spec", Spec},
       {"status", QJsonValue::Null}};
-  m_Content.m_Objects[Kind][Name] = Object;
+  Objects[Name] = Object;
   recordChange(Kind, Object, false);
 }
 
@@ -256,6 +272,8 @@
   QJsonArray Items;
   bool More = false;
   for (const auto &[Name, Object] : m_Content.m_Objects[Kind]) {
+    if (Kind == m_HiddenKind)
+      break;
     if (After != Request.m_Query.end() && Name <= After->second)
       continue;
     More = static_cast<std::size_t>(Items.size()) == m_PageSize;
@@ -304,6 +322,8 @@
 }
 
 bool StoreStandin::answerWatch(const Watch &Pending) {
+  if (Pending.m_Kind == m_HiddenKind)
+    return false;
   QJsonArray Events;
   for (const Change &Each : m_Content.m_History)
     if (Each.m_Kind == Pending.m_Kind &&
@@ -355,8 +375,8 @@
           {"slots", 4},
           {"state", toQString(State)},
           {"cold_remaining_ms", 0},
-          {"sequence", 4},
-          {"born", qint64{1785822630279}}};
+          {"sequence", qint64{m_Sequence}},
+          {"born", qint64{m_Born}}};
 }
 
 void SearcherStandin::answer(const SimpleHttpRequest &Request,
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -89,6 +89,8 @@
 
   std::string address() const { return m_Server.address(); }
   std::uint16_t port() const { return m_Server.port(); }
+  /** Creates or replaces an object. A change of nothing, or of an entry's
+   *  `sequence` alone, gives no revision and no event. */
   void put(const std::string &Kind, const std::string &Name,
            const QJsonObject &Spec);
   /** Like put(), with \p Spec as JSON text, which is sent unchanged. */
@@ -113,6 +115,8 @@
   bool m_SuppressesWatchEvents = false; ///< Pending watches get no events.
   /** New watches of this kind are never answered. */
   std::string m_UnansweredWatchKind;
+  /** Objects of this kind are stored but neither listed nor watched. */
+  std::string m_HiddenKind;
   /** If not empty, answers each listing instead of the objects. */
   std::string m_ListText;
   std::size_t m_PageSize = 500;
@@ -180,6 +184,8 @@
       m_RunHandler;
   std::chrono::milliseconds m_Delay{1};
   std::string m_Body = "0123456789abcdef"; ///< Reply body: one record.
+  std::int64_t m_Sequence = 4;             ///< Of the last heartbeat.
+  std::int64_t m_Born = 1785822630279;     ///< Start, in Unix milliseconds.
   std::vector<SimpleHttpRequest> m_RunRequests;
   std::vector<std::string> m_DeadlineHeaders; ///< In order of arrival.
 
--- a/test/support/RoutedFleet.h
+++ b/test/support/RoutedFleet.h
@@ -152,7 +152,9 @@
          {"directoryAddress", Address(ConfiguredVm.m_DirectoryPort)},
          {"controlAddress", Address(ConfiguredVm.m_ControlPort)},
          {"gossipAddress", Address(m_GossipPort)},
-         {"seeds", AddressAt(m_FirstIpv4Address, m_Vms.front()->m_ControlPort)},
+         {"seeds", m_HasSeeds ? AddressAt(m_FirstIpv4Address,
+                                          m_Vms.front()->m_ControlPort)
+                              : QString()},
          {"storeAddress", toQt(storeAddress(ConfiguredVm))},
          {"retrySlack", 50},
          {"graceSeconds", GraceSeconds}})));
@@ -203,6 +205,7 @@
   std::string m_StoreAddress; ///< Proxy in front of the store, if any.
   std::string m_Binary = FIGTURN_BINARY; ///< May be an earlier build.
   double m_GraceSeconds = 2;
+  bool m_HasSeeds = true; ///< VMs are told where to find one another.
   std::vector<std::string> m_DataCentres{"dc-a"}; ///< Of the VMs, in turn.
   std::vector<std::unique_ptr<standin::SearcherStandin>> m_Searchers;
   std::vector<std::unique_ptr<Vm>> m_Vms;
