Play returns of the store and quick changes in deployments, and check routes

New steps: return the store (once or twice in a row, with changes just before and after), drop a route, add it again, bursts of changes, an equal version and an invalid document of another writer, a reshard, a change just before a VM starts and just before all are killed, and one VM with silent connections. Each writer writes again within two seconds what a return lost; until then the store counts as disrupted.

CONFIG: on VMs in touch, a route dropped over 3 s before is not served, and one added over 3 s before gets no 404 and no 503 for want of a proven configuration. The answers are counted by version.

The list of VMs is now extended under its mutex, which its readers hold.

--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
@@ -27,6 +28,10 @@
 constexpr milliseconds HeartbeatInterval{1200};
 constexpr milliseconds EntryLifetime = 3 * HeartbeatInterval;
 constexpr milliseconds HeartbeatTick{50};
+/** Within which all writers write again what a returned store has lost. */
+constexpr milliseconds RewriteTime{2000};
+/** In which a VM with a share of the processor runs once. */
+constexpr milliseconds Slice{100};
 /** Time within which an answer that names a target as leaving is passed on. */
 constexpr milliseconds PassOnTime{500};
 constexpr seconds StoreQuietTime{9};
@@ -41,8 +46,12 @@
 constexpr milliseconds CallerInterval{260};
 constexpr milliseconds ProbeInterval{400};
 constexpr milliseconds StepInterval{300};
+constexpr milliseconds TaskInterval{20};
 constexpr milliseconds LagInterval{5};
 constexpr std::size_t MaxFailures = 40;
+/** Dropped routes are probed for so long. */
+constexpr seconds DroppedProbeTime{15};
+constexpr int ProbesPerConnection = 2;
 
 constexpr const char *LookupService = "invoicing";
 
@@ -62,6 +71,9 @@
     RequestForm{"/fetch/", "safe", 4000, 600, 2, 160, false},
     RequestForm{"/order/", "unsafe", 4000, 600, 2, 160, false}};
 
+constexpr std::string_view AddedPrefix = "/added/";
+constexpr std::string_view FloodPath = "/flood/";
+
 std::string shardName(std::size_t Number) {
   return fmt::format("crew-portal-{}", Number);
 }
@@ -88,12 +100,22 @@
       {"reload VM", 1, &DeploymentRun::reloadVm},
       {"add VM", 2, &DeploymentRun::addVm},
       {"cut VM from the store", 2, &DeploymentRun::cutVmFromStore},
+      {"kill all VMs", 1, &DeploymentRun::killAllVms},
       {"add route", 6, &DeploymentRun::addRoute},
+      {"drop route", 3, &DeploymentRun::dropRoute},
+      {"add route again", 3, &DeploymentRun::addRouteAgain},
+      {"change in burst", 2, &DeploymentRun::changeInBurst},
+      {"write foreign configuration", 2, &DeploymentRun::writeForeignConfig},
+      {"reshard", 2, &DeploymentRun::reshard},
       {"change limits", 3, &DeploymentRun::changeLimits},
       {"drain target", 6, &DeploymentRun::drainTarget},
       {"remove target", 5, &DeploymentRun::removeTarget},
       {"slow target", 4, &DeploymentRun::slowTarget},
       {"crash target", 2, &DeploymentRun::crashTarget},
+      {"return store", 1, &DeploymentRun::returnStore,
+       &DeploymentOptions::m_ReturnsWeight},
+      {"silence one VM", 0, &DeploymentRun::silenceOneVm,
+       &DeploymentOptions::m_SilentVmWeight},
       {"silence store's connections", 2,
        &DeploymentRun::silenceStoreConnections},
       {"take store down", 1, &DeploymentRun::takeStoreDown},
@@ -110,8 +132,13 @@
   if (!m_Options.m_Binary.empty())
     m_Fleet.m_Binary = m_Options.m_Binary;
   m_Fleet.m_DataCentres = {"dc-a", "dc-b", "dc-c"};
-  m_Fleet.runOnStandinThread(
-      [this] { m_Context = std::make_unique<QObject>(); });
+  m_Fleet.m_HasSeeds = m_Options.m_HasGossip;
+  m_FloodShardCount = m_Options.m_ShardCount;
+  m_Fleet.runOnStandinThread([this] {
+    m_Context = std::make_unique<QObject>();
+    if (!m_Options.m_HasGossip)
+      m_Fleet.m_Store->m_HiddenKind = "figturn-vms";
+  });
   publishConfig();
   for (std::size_t I = 0; I < m_Options.m_ShardCount; ++I)
     for (std::size_t J = 0; J < ReplicasPerShard; ++J)
@@ -131,6 +158,8 @@
   for (std::thread &Each : m_Callers)
     if (Each.joinable())
       Each.join();
+  if (m_Sharer.joinable())
+    m_Sharer.join();
   m_Fleet.m_Vms.clear();
   m_Fleet.runOnStandinThread([this] {
     for (const auto &Each : m_Vms)
@@ -151,9 +180,13 @@
   Started->m_Process->m_StoreAddress = m_Fleet.m_StoreAddress;
   m_Touch.begin(Started->m_Name, steady_clock::now());
   m_Touch.end(Started->m_Name, steady_clock::now());
-  m_Vms.push_back(std::move(Started));
-  const std::lock_guard Lock(m_Mutex);
-  m_UsableVmCount = m_Vms.size();
+  Vm &Shared = *Started;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Vms.push_back(std::move(Started));
+    m_UsableVmCount = m_Vms.size();
+  }
+  setShared(Shared, true);
 }
 
 auto DeploymentRun::addTarget(const std::string &Service) -> Target & {
@@ -207,9 +240,6 @@
 void DeploymentRun::publishConfig() {
   QJsonObject Config = test::routedConfig(1);
   QJsonArray Routes;
-  QJsonArray Shards;
-  for (std::size_t I = 0; I < m_Options.m_ShardCount; ++I)
-    Shards.append(toQt(shardName(I)));
   const auto AddRoute = [&](const RequestForm &Form, const std::string &Path) {
     QJsonObject Route{{"name", toQt("r" + Path)},
                       {"host", "h.example"},
@@ -220,6 +250,12 @@
                       {"priority", Form.m_Priority},
                       {"attempts", 2}};
     if (Form.m_IsSearch) {
+      QJsonArray Shards;
+      for (std::size_t I = 0;
+           I < (Form.m_Path == FloodPath ? m_FloodShardCount
+                                         : m_Options.m_ShardCount);
+           ++I)
+        Shards.append(toQt(shardName(I)));
       Route["gather"] = Shards;
       Route["top"] = 50;
       Route["min_version"] = 0.75;
@@ -247,8 +283,8 @@
   {
     const std::lock_guard Lock(m_Mutex);
     for (const auto &[Number, Each] : m_Routes)
-      if (Each.m_RemovedAt == SteadyTime::max())
-        AddRoute(Forms[2], fmt::format("/added/{}/", Number));
+      if (Each.m_RemovedFrom == SteadyTime::max())
+        AddRoute(Forms[2], fmt::format("{}{}/", AddedPrefix, Number));
     BodyLimit = m_BodyLimit;
     ++m_ConfigVersion;
   }
@@ -258,7 +294,11 @@
   QJsonObject Limits = Config["limits"].toObject();
   Limits["body_bytes"] = static_cast<qint64>(BodyLimit);
   Config["limits"] = Limits;
-  m_Fleet.publish(Config);
+  m_Fleet.runOnStandinThread([&] {
+    m_Config = Config;
+    m_Fleet.m_Store->put("config", "main", Config);
+  });
+  m_ConfigAckedAt = steady_clock::now();
 }
 
 // Targets.
@@ -393,19 +433,56 @@
     const std::lock_guard Lock(m_Mutex);
     ++m_Statuses[Status];
     IsAllowed = IsAllowed && Body.size() <= m_LeastBodyLimit;
-    if (Path.starts_with("/added/")) {
-      const auto Found = m_Routes.find(std::atoi(Path.c_str() + 7));
-      IsAllowed = IsAllowed && Found != m_Routes.end() &&
-                  Found->second.m_AddedAt + ConfigTime < SentAt &&
-                  Found->second.m_RemovedAt > Now;
-    }
   }
+  if (Path.starts_with(AddedPrefix) &&
+      !checkAddedRoute(VmName, Id, Path, SentAt, Now, Status,
+                       Reply ? Reply->m_Body : ""))
+    IsAllowed = false;
   if (isDenial(Status) && IsAllowed && m_Touch.isInTouch(VmName, SentAt, Now))
     fail("DENIED", fmt::format("{} {} of {} bytes got {}: {}", Id, Path,
                                Body.size(), Status, Reply->m_Body));
   return Reply && Reply->header("Connection") != "close";
 }
 
+bool DeploymentRun::checkAddedRoute(const std::string &VmName,
+                                    const std::string &Id,
+                                    const std::string &Path, SteadyTime SentAt,
+                                    SteadyTime Now, unsigned Status,
+                                    const std::string &Body) {
+  const SteadyTime Due = SentAt - ConfigTime;
+  AddedRoute Route;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found =
+        m_Routes.find(std::atoi(Path.c_str() + AddedPrefix.size()));
+    if (Found == m_Routes.end())
+      return false;
+    Route = Found->second;
+  }
+  const bool IsInForce = Route.m_AddedAt < Due && Route.m_RemovedFrom > Now;
+  const bool IsDropped = Route.m_RemovedAt < Due;
+  if ((!IsInForce && !IsDropped) || !m_Touch.isInTouch(VmName, SentAt, Now))
+    return IsInForce;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    ++m_AnswersByVersion[Route.m_Version][Status];
+  }
+  const bool IsUnknown =
+      Status == 404 ||
+      (Status == 503 && Body.find("\"not-ready\"") != std::string::npos);
+  const auto SinceAck = std::chrono::floor<milliseconds>(
+      SentAt - (IsDropped ? Route.m_RemovedAt : Route.m_AddedAt));
+  if (IsInForce && IsUnknown)
+    fail("CONFIG",
+         fmt::format("{} {} got {} {} ms after version {} added it", Id, Path,
+                     Status, SinceAck.count(), Route.m_Version));
+  if (IsDropped && Status == 200)
+    fail("CONFIG",
+         fmt::format("{} {} was served {} ms after version {} dropped it", Id,
+                     Path, SinceAck.count(), Route.m_Version));
+  return IsInForce;
+}
+
 void DeploymentRun::runCaller(std::size_t Number) {
   std::mt19937 Random(m_Options.m_Seed * 1000 +
                       static_cast<std::uint32_t>(Number));
@@ -452,9 +529,12 @@
       if (VmIndex >= m_UsableVmCount)
         continue;
       Probed = m_Vms[VmIndex].get();
-      const SteadyTime Due = steady_clock::now() - ConfigTime;
+      const SteadyTime Now = steady_clock::now();
+      const SteadyTime Due = Now - ConfigTime;
       for (const auto &[Number, Each] : m_Routes)
-        if (Each.m_AddedAt < Due && Each.m_RemovedAt == SteadyTime::max())
+        if ((Each.m_AddedAt < Due && Each.m_RemovedFrom == SteadyTime::max()) ||
+            (Each.m_RemovedAt < Due &&
+             Each.m_RemovedAt > Now - DroppedProbeTime))
           Numbers.push_back(Number);
     }
     const SteadyTime Now = steady_clock::now();
@@ -462,10 +542,13 @@
       continue;
     RawClient Client(Probed->m_Process->m_CallerPort,
                      Probed->m_Process->m_Ipv4Address);
-    if (Client.hasConnected())
-      exchange(Client, Probed->m_Name,
-               fmt::format("{}/probe-{}", Probed->m_Name, Count++),
-               fmt::format("/added/{}/x", Numbers.back()), "", false, Random);
+    bool IsUsable = Client.hasConnected();
+    for (int I = 0; IsUsable && I < ProbesPerConnection; ++I)
+      IsUsable = exchange(Client, Probed->m_Name,
+                          fmt::format("{}/probe-{}", Probed->m_Name, Count++),
+                          fmt::format("{}{}/x", AddedPrefix,
+                                      Numbers[Random() % Numbers.size()]),
+                          "", false, Random);
   }
 }
 
@@ -495,17 +578,24 @@
   for (std::size_t I = 0; I < m_Options.m_VmCount + m_Options.m_SpareVmCount;
        ++I)
     m_Callers.emplace_back([this, I] { runProbe(I); });
+  if (m_Options.m_CpuShare < 1)
+    m_Sharer = std::thread([this] { shareProcessor(); });
   std::vector<int> Weights;
   for (const Step &Each : steps())
-    Weights.push_back(Each.m_Weight);
+    Weights.push_back(Each.m_WeightOption ? m_Options.*Each.m_WeightOption
+                                          : Each.m_Weight);
   std::discrete_distribution<std::size_t> Choice(Weights.begin(),
                                                  Weights.end());
   const SteadyTime End = steady_clock::now() + m_Options.m_Length;
   while (steady_clock::now() < End) {
-    std::this_thread::sleep_for(
+    const SteadyTime NextStep =
+        steady_clock::now() +
         randomTime(static_cast<int>(StepInterval.count()),
-                   3 * static_cast<int>(StepInterval.count())));
-    runDueTasks();
+                   3 * static_cast<int>(StepInterval.count()));
+    while (steady_clock::now() < NextStep) {
+      std::this_thread::sleep_for(TaskInterval);
+      runDueTasks();
+    }
     const Step &Next = steps()[Choice(m_Random)];
     if (m_Options.m_IsVerbose)
       fmt::print(stderr, "seed {}: {}\n", m_Options.m_Seed, Next.m_Name);
@@ -514,6 +604,8 @@
   m_Stopping = true;
   for (std::thread &Each : m_Callers)
     Each.join();
+  if (m_Sharer.joinable())
+    m_Sharer.join();
   if (!m_Options.m_LogFolder.empty())
     for (const auto &Each : m_Vms) {
       std::filesystem::create_directories(m_Options.m_LogFolder);
@@ -533,6 +625,12 @@
     Summary += fmt::format(" {}x{}", Count, Status);
   for (const auto &[Rule, Count] : m_FailureCounts)
     Summary += fmt::format(" {}={}", Rule, Count);
+  Summary += "\n  answers by version, on routes changed over 3 s before:";
+  for (const auto &[Version, Statuses] : m_AnswersByVersion) {
+    Summary += fmt::format(" {}:", Version);
+    for (const auto &[Status, Count] : Statuses)
+      Summary += fmt::format("{}x{},", Count, Status);
+  }
   return Summary;
 }
 
@@ -579,9 +677,45 @@
   Released.m_IsBusy = false;
 }
 
+void DeploymentRun::setShared(Vm &Changed, bool IsShared) {
+  const std::lock_guard Lock(m_Mutex);
+  if (!Changed.m_Runs)
+    Changed.m_Process->m_Process->signal(SIGCONT);
+  Changed.m_Runs = true;
+  Changed.m_IsShared = IsShared;
+}
+
+void DeploymentRun::shareProcessor() {
+  // The VMs' slices are spread over the interval.
+  constexpr std::size_t Shift = 37;
+  const auto RunTime = static_cast<std::int64_t>(
+      std::ceil(m_Options.m_CpuShare * static_cast<double>(Slice.count())));
+  while (!m_Stopping) {
+    std::this_thread::sleep_for(milliseconds(1));
+    const auto Now = std::chrono::floor<milliseconds>(
+        steady_clock::now().time_since_epoch());
+    const std::lock_guard Lock(m_Mutex);
+    for (std::size_t I = 0; I < m_Vms.size(); ++I) {
+      Vm &Each = *m_Vms[I];
+      const bool Runs =
+          (Now + milliseconds(I * Shift)) % Slice < milliseconds(RunTime);
+      if (!Each.m_IsShared || Runs == Each.m_Runs)
+        continue;
+      Each.m_Process->m_Process->signal(Runs ? SIGCONT : SIGSTOP);
+      Each.m_Runs = Runs;
+    }
+  }
+  for (const auto &Each : m_Vms)
+    setShared(*Each, false);
+}
+
 void DeploymentRun::restart(Vm &Restarted) {
+  setShared(Restarted, false);
   Restarted.m_Process->m_Process->waitForExit();
+  if (m_Random() % 4 == 0)
+    addRoute();
   m_Fleet.launch(*Restarted.m_Process, false);
+  setShared(Restarted, true);
   release(Restarted);
 }
 
@@ -601,9 +735,11 @@
 
 void DeploymentRun::freezeVm() {
   if (Vm *Frozen = acquireVm()) {
+    setShared(*Frozen, false);
     Frozen->m_Process->m_Process->signal(SIGSTOP);
     after(randomTime(500, 4000), [this, Frozen] {
       Frozen->m_Process->m_Process->signal(SIGCONT);
+      setShared(*Frozen, true);
       release(*Frozen);
     });
   }
@@ -639,21 +775,123 @@
   });
 }
 
+void DeploymentRun::killAllVms() {
+  addRoute();
+  std::vector<Vm *> Killed;
+  for (const auto &Each : m_Vms) {
+    if (Each->m_IsBusy)
+      continue;
+    Each->m_IsBusy = true;
+    m_Touch.begin(Each->m_Name, steady_clock::now());
+    Each->m_Process->m_Process->signal(SIGKILL);
+    Killed.push_back(Each.get());
+  }
+  after(randomTime(300, 1500), [this, Killed] {
+    for (Vm *Each : Killed)
+      restart(*Each);
+  });
+}
+
 // Configuration.
 
+void DeploymentRun::changeRoutes(const std::vector<int> &Added,
+                                 const std::vector<int> &Dropped) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    for (const int Number : Added)
+      m_Routes[Number] = {};
+    for (const int Number : Dropped)
+      m_Routes[Number].m_RemovedFrom = steady_clock::now();
+  }
+  publishConfig();
+  const SteadyTime Now = steady_clock::now();
+  const std::lock_guard Lock(m_Mutex);
+  for (const int Number : Added) {
+    m_Routes[Number].m_AddedAt = Now;
+    m_Routes[Number].m_Version = m_ConfigVersion;
+  }
+  for (const int Number : Dropped) {
+    m_Routes[Number].m_RemovedAt = Now;
+    m_Routes[Number].m_Version = m_ConfigVersion;
+  }
+}
+
+std::optional<int> DeploymentRun::randomRoute(bool IsLive) {
+  constexpr std::size_t Recent = 8;
+  std::vector<int> Numbers;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    for (auto Each = m_Routes.rbegin();
+         Each != m_Routes.rend() && Numbers.size() < Recent; ++Each)
+      if ((Each->second.m_RemovedFrom == SteadyTime::max()) == IsLive)
+        Numbers.push_back(Each->first);
+  }
+  if (Numbers.empty())
+    return std::nullopt;
+  return Numbers[m_Random() % Numbers.size()];
+}
+
 void DeploymentRun::addRoute() {
+  constexpr int MaxAdded = 4;
   int Number = 0;
+  std::vector<int> Dropped;
   {
     const std::lock_guard Lock(m_Mutex);
     Number = static_cast<int>(m_Routes.size());
-    m_Routes[Number] = {.m_AddedAt = SteadyTime::max()};
-    constexpr int MaxAdded = 4;
-    if (Number >= MaxAdded)
-      m_Routes[Number - MaxAdded].m_RemovedAt = steady_clock::now();
+    const auto Oldest = m_Routes.find(Number - MaxAdded);
+    if (Oldest != m_Routes.end() &&
+        Oldest->second.m_RemovedFrom == SteadyTime::max())
+      Dropped.push_back(Oldest->first);
+  }
+  changeRoutes({Number}, Dropped);
+}
+
+void DeploymentRun::dropRoute() {
+  if (const auto Number = randomRoute(true))
+    changeRoutes({}, {*Number});
+}
+
+void DeploymentRun::addRouteAgain() {
+  if (const auto Number = randomRoute(false))
+    changeRoutes({*Number}, {});
+}
+
+void DeploymentRun::changeInBurst() {
+  constexpr std::array Changes{&DeploymentRun::addRoute,
+                               &DeploymentRun::dropRoute,
+                               &DeploymentRun::addRouteAgain};
+  const std::size_t Count = 3 + m_Random() % 3;
+  for (std::size_t I = 0; I < Count; ++I)
+    after(randomTime(0, 900),
+          [this, Change = Changes[m_Random() % 3]] { (this->*Change)(); });
+}
+
+void DeploymentRun::writeForeignConfig() {
+  // A version must be known before another writer takes its number.
+  if (steady_clock::now() - m_ConfigAckedAt < ConfigTime)
+    return;
+  const bool IsEqual = m_Random() % 2 == 0;
+  m_Fleet.runOnStandinThread([&] {
+    QJsonObject Foreign = m_Config;
+    QJsonArray Routes;
+    for (std::size_t I = 0; I < Forms.size(); ++I)
+      Routes.append(Foreign["routes"].toArray()[static_cast<qsizetype>(I)]);
+    Foreign["routes"] = IsEqual ? QJsonValue(Routes) : QJsonValue(7);
+    if (!IsEqual)
+      Foreign["version"] = m_ConfigVersion + 1;
+    m_Fleet.m_Store->put("config", "main", Foreign);
+  });
+  after(randomTime(300, 1500), [this] { addRoute(); });
+}
+
+void DeploymentRun::reshard() {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_FloodShardCount = m_FloodShardCount == m_Options.m_ShardCount
+                            ? m_Options.m_ShardCount - 1
+                            : m_Options.m_ShardCount;
   }
   publishConfig();
-  const std::lock_guard Lock(m_Mutex);
-  m_Routes[Number].m_AddedAt = steady_clock::now();
 }
 
 void DeploymentRun::changeLimits() {
@@ -786,6 +1024,81 @@
   });
 }
 
+void DeploymentRun::silenceOneVm() {
+  Vm *Silenced = acquireVm();
+  if (!Silenced)
+    return;
+  m_Fleet.runOnStandinThread(
+      [&] { Silenced->m_Store->silenceOpenConnections(); });
+  release(*Silenced);
+  after(randomTime(0, 3500), [this] { addRoute(); });
+  after(randomTime(3500, 5500), [this] { drainTarget(); });
+  after(randomTime(3500, 5500), [this] { removeTarget(); });
+  after(randomTime(3500, 5500), [this] { addRoute(); });
+}
+
+void DeploymentRun::returnStore() {
+  if (steady_clock::now() < m_StoreQuietFrom)
+    return;
+  m_StoreQuietFrom = SteadyTime::max();
+  m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->saveCopy(); });
+  const milliseconds Lost = randomTime(1000, 6000);
+  // What is written from here on is lost, even just before the return.
+  for (const auto Change :
+       {&DeploymentRun::addRoute, &DeploymentRun::dropRoute,
+        &DeploymentRun::drainTarget, &DeploymentRun::removeTarget})
+    after(Lost - randomTime(0, 900), [this, Change] { (this->*Change)(); });
+  after(Lost, [this] {
+    m_Touch.begin("", steady_clock::now());
+    returnFromCopy(m_Random() % 3 == 0 ? 1 : 0);
+  });
+}
+
+void DeploymentRun::returnFromCopy(int FurtherReturns) {
+  m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->m_IsDown = true; });
+  // The operator can't write meanwhile either.
+  std::this_thread::sleep_for(randomTime(100, 1000));
+  const bool SavesAgain = m_Random() % 2 == 0;
+  m_Fleet.runOnStandinThread([&] {
+    m_Fleet.m_Store->returnFromCopy();
+    m_Fleet.m_Store->m_IsDown = false;
+    if (SavesAgain)
+      m_Fleet.m_Store->saveCopy();
+    writeAgain();
+  });
+  for (const auto Change :
+       {&DeploymentRun::addRoute, &DeploymentRun::drainTarget,
+        &DeploymentRun::removeTarget})
+    if (m_Random() % 2 == 0)
+      after(randomTime(0, 1500), [this, Change] { (this->*Change)(); });
+  if (FurtherReturns > 0) {
+    after(randomTime(300, 2500),
+          [this, FurtherReturns] { returnFromCopy(FurtherReturns - 1); });
+    return;
+  }
+  m_StoreQuietFrom = steady_clock::now() + RewriteTime + StoreQuietTime;
+  after(RewriteTime + HeartbeatTick, [this] {
+    m_Touch.end("", steady_clock::now());
+    for (const auto Change :
+         {&DeploymentRun::addRoute, &DeploymentRun::dropRoute,
+          &DeploymentRun::drainTarget, &DeploymentRun::removeTarget})
+      after(randomTime(4200, 5000), [this, Change] { (this->*Change)(); });
+  });
+}
+
+void DeploymentRun::writeAgain() {
+  const auto Later = [this](const std::function<void()> &Write) {
+    QTimer::singleShot(randomTime(0, static_cast<int>(RewriteTime.count())),
+                       m_Context.get(), Write);
+  };
+  Later([this] { m_Fleet.m_Store->put("config", "main", m_Config); });
+  // Those that write heartbeats go on with them.
+  for (const auto &Each : m_Targets)
+    if (!Each->m_WritesEntry)
+      Later(
+          [this, Id = Each->m_Id] { m_Fleet.m_Store->remove("servers", Id); });
+}
+
 void DeploymentRun::takeStoreDown() {
   disruptStore(randomTime(1000, 4500), [this](bool IsDisrupted) {
     const bool Lapses = m_Random() % 2 == 0;
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -40,6 +41,10 @@
   std::string m_Binary;    ///< Program of the VMs; empty: this build's.
   std::string m_LogFolder; ///< The VMs' output is kept here; empty: nowhere.
   bool m_IsVerbose = false;
+  int m_ReturnsWeight = 1;  ///< Of the step that returns the store.
+  int m_SilentVmWeight = 0; ///< Of the step that silences one VM.
+  double m_CpuShare = 1;    ///< Of the time, in which each VM runs.
+  bool m_HasGossip = true;  ///< VMs are told of one another.
 };
 
 class DeploymentRun {
@@ -58,6 +63,8 @@
     test::RoutedFleet::Vm *m_Process = nullptr;
     std::unique_ptr<FaultProxy> m_Store; ///< Its way to the store.
     bool m_IsBusy = false;               ///< Disrupted at present.
+    bool m_IsShared = false; ///< Runs in slices; guarded by m_Mutex.
+    bool m_Runs = true;      ///< In its slice; guarded by m_Mutex.
   };
   /** One target; used on the stand-ins' thread. */
   struct Target {
@@ -80,9 +87,12 @@
     /** When the target first told a VM that it leaves. */
     std::map<std::string, SteadyTime> m_ToldAt;
   };
+  /** A route beside the first ones; it may be dropped and added again. */
   struct AddedRoute {
-    SteadyTime m_AddedAt;
-    SteadyTime m_RemovedAt = SteadyTime::max();
+    SteadyTime m_AddedAt = SteadyTime::max(); ///< Acknowledged by the store.
+    SteadyTime m_RemovedFrom = SteadyTime::max(); ///< Sent to the store.
+    SteadyTime m_RemovedAt = SteadyTime::max();   ///< Acknowledged.
+    int m_Version = 0; ///< That changed the route last.
   };
   struct Sent {
     std::string m_Vm;
@@ -92,6 +102,7 @@
     const char *m_Name;
     int m_Weight;
     void (DeploymentRun::*m_Run)();
+    int DeploymentOptions::*m_WeightOption = nullptr; ///< Replaces m_Weight.
   };
   static const std::vector<Step> &steps();
 
@@ -103,6 +114,17 @@
   void removeEntry(Target &Removed);
   Target &addTarget(const std::string &Service);
   void publishConfig();
+  /** Adds and drops routes in one version. */
+  void changeRoutes(const std::vector<int> &Added,
+                    const std::vector<int> &Dropped);
+  /** A random one of the routes that are in force, or that are dropped. */
+  std::optional<int> randomRoute(bool IsLive);
+  /** Checks the answer to a request on an added route; returns whether the
+   *  route has been in force for long enough. */
+  bool checkAddedRoute(const std::string &VmName, const std::string &Id,
+                       const std::string &Path, SteadyTime SentAt,
+                       SteadyTime Now, unsigned Status,
+                       const std::string &Body);
   void runCaller(std::size_t Number);
   /** Sends requests on the routes added last to one VM. */
   void runProbe(std::size_t VmIndex);
@@ -123,9 +145,14 @@
   std::chrono::milliseconds randomTime(int MinMs, int MaxMs);
   Vm *acquireVm();
   void release(Vm &Released);
+  /** Lets the process run in slices, or all the time. */
+  void setShared(Vm &Changed, bool IsShared);
+  void shareProcessor();
   void restart(Vm &Restarted);
   Target *randomReadyTarget();
   void leave(bool Announced);
+  void returnFromCopy(int FurtherReturns);
+  void writeAgain();
   void disruptStore(std::chrono::milliseconds Time,
                     const std::function<void(bool IsDisrupted)> &Apply);
   void forEachProxy(const std::function<void(FaultProxy &)> &Apply);
@@ -136,13 +163,21 @@
   void reloadVm();
   void addVm();
   void cutVmFromStore();
+  void killAllVms();
   void addRoute();
+  void dropRoute();
+  void addRouteAgain();
+  void changeInBurst();
+  void writeForeignConfig();
+  void reshard();
   void changeLimits();
   void drainTarget();
   void removeTarget();
   void slowTarget();
   void crashTarget();
   void silenceStoreConnections();
+  void silenceOneVm();
+  void returnStore();
   void takeStoreDown();
   void slowStore();
   void loseStoreReplies();
@@ -158,6 +193,8 @@
   std::size_t m_TargetsCreated = 0;
   bool m_IsCrowded = false;
   bool m_LapsesWhileDown = false; ///< Used on the stand-ins' thread.
+  QJsonObject m_Config;           ///< Sent last; used on the stand-ins' thread.
+  SteadyTime m_ConfigAckedAt;
   SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
   std::multimap<SteadyTime, std::function<void()>> m_Tasks;
 
@@ -167,6 +204,9 @@
   std::map<std::string, std::size_t> m_FailureCounts; ///< By rule.
   std::vector<std::string> m_Failures;
   std::map<int, AddedRoute> m_Routes;
+  /** Answers on added routes by the version that changed the route last. */
+  std::map<int, std::map<unsigned, std::size_t>> m_AnswersByVersion;
+  std::size_t m_FloodShardCount = 0;
   std::size_t m_BodyLimit = 262144;
   std::size_t m_LeastBodyLimit = 262144; ///< Of the versions that may hold.
   std::size_t m_UsableVmCount = 0;
@@ -175,6 +215,7 @@
   std::atomic<std::int64_t> m_LagMs = 0; ///< Of the stand-ins' event loop.
   std::atomic<bool> m_Stopping = false;
   std::vector<std::thread> m_Callers;
+  std::thread m_Sharer;
 };
 
 } // namespace figturn::soak
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -11,12 +11,16 @@
 namespace {
 
 constexpr int UsageError = 2;
+/** Of the step that silences one VM, among about 60 of all steps. */
+constexpr int SilentVmWeight = 6;
 
 int usage() {
   fmt::print(stderr,
              "figturn-soak FIRST-SEED [COUNT [FAULTS [VMS]]] [--verbose]\n"
              "figturn-soak --deployment FIRST-SEED [COUNT [SECONDS [VMS]]] "
-             "[--binary=FILE] [--logs=FOLDER] [--verbose]\n");
+             "[--binary=FILE] [--logs=FOLDER] [--returns=WEIGHT] "
+             "[--one-silent-vm] [--cpu-share=SHARE] [--no-gossip] "
+             "[--verbose]\n");
   return UsageError;
 }
 
@@ -59,6 +63,20 @@
       Deployment.m_Binary = Text;
     } else if (Value.starts_with("--logs=")) {
       Deployment.m_LogFolder = Text;
+    } else if (Value.starts_with("--returns=")) {
+      Deployment.m_ReturnsWeight =
+          static_cast<int>(std::strtoul(Text.c_str(), &End, 10));
+      if (*End != 0 || Text.empty())
+        return usage();
+    } else if (Value.starts_with("--cpu-share=")) {
+      Deployment.m_CpuShare = std::strtod(Text.c_str(), &End);
+      if (*End != 0 || !(Deployment.m_CpuShare > 0) ||
+          Deployment.m_CpuShare > 1)
+        return usage();
+    } else if (Value == "--one-silent-vm") {
+      Deployment.m_SilentVmWeight = SilentVmWeight;
+    } else if (Value == "--no-gossip") {
+      Deployment.m_HasGossip = false;
     } else {
       Numbers.push_back(std::strtoul(Value.c_str(), &End, 10));
       if (*End != 0 || Value.empty())
