--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -1,5 +1,6 @@
 #include "soak/DeploymentRun.h"
 
+#include <QDateTime>
 #include <QTimer>
 
 #include <algorithm>
@@ -28,6 +29,7 @@
 constexpr milliseconds HeartbeatInterval{1200};
 constexpr milliseconds EntryLifetime = 3 * HeartbeatInterval;
 constexpr milliseconds HeartbeatTick{50};
+constexpr milliseconds ColdTime{3000}; ///< As the services' configuration says.
 /** Within which all writers write again what a returned store has lost. */
 constexpr milliseconds RewriteTime{2000};
 /** In which a VM with a share of the processor runs once. */
@@ -216,6 +218,9 @@
 
 void DeploymentRun::writeEntry(Target &Writer, SteadyTime Now) {
   ++Writer.m_Searcher->m_Sequence;
+  Writer.m_Searcher->m_ColdRemaining =
+      std::max(std::chrono::floor<milliseconds>(Writer.m_ColdUntil - Now),
+               milliseconds(0));
   Writer.m_NextHeartbeat = Now + HeartbeatInterval;
   Writer.m_LapsesAt = Now + EntryLifetime;
   m_Fleet.m_Store->put(
@@ -297,6 +302,9 @@
   m_Fleet.runOnStandinThread([&] {
     m_Config = Config;
     m_Fleet.m_Store->put("config", "main", Config);
+    note(fmt::format("  version {} with {} routes has revision {}",
+                     m_ConfigVersion, Routes.size(),
+                     m_Fleet.m_Store->revision()));
   });
   m_ConfigAckedAt = steady_clock::now();
 }
@@ -597,8 +605,7 @@
       runDueTasks();
     }
     const Step &Next = steps()[Choice(m_Random)];
-    if (m_Options.m_IsVerbose)
-      fmt::print(stderr, "seed {}: {}\n", m_Options.m_Seed, Next.m_Name);
+    note(Next.m_Name);
     (this->*Next.m_Run)();
   }
   m_Stopping = true;
@@ -641,6 +648,15 @@
     m_Failures.push_back(Rule + ": " + Message);
 }
 
+void DeploymentRun::note(const std::string &Text) const {
+  if (m_Options.m_IsVerbose)
+    fmt::print(stderr, "seed {}: {} {}\n", m_Options.m_Seed,
+               QDateTime::currentDateTimeUtc()
+                   .toString(Qt::ISODateWithMs)
+                   .toStdString(),
+               Text);
+}
+
 void DeploymentRun::after(milliseconds Delay, std::function<void()> Task) {
   m_Tasks.emplace(steady_clock::now() + Delay, std::move(Task));
 }
@@ -880,6 +896,9 @@
     if (!IsEqual)
       Foreign["version"] = m_ConfigVersion + 1;
     m_Fleet.m_Store->put("config", "main", Foreign);
+    note(fmt::format("  foreign {} version has revision {}",
+                     IsEqual ? "equal" : "invalid",
+                     m_Fleet.m_Store->revision()));
   });
   after(randomTime(300, 1500), [this] { addRoute(); });
 }
@@ -938,6 +957,10 @@
       removeEntry(*Leaving);
     Leaving->m_LeftAt = steady_clock::now();
     Leaving->m_LeftWhileStable = m_Touch.isStoreStable(Leaving->m_LeftAt);
+    note(fmt::format("  {} {}, {}, revision {}", Leaving->m_Id,
+                     Announced ? "drains" : "is removed",
+                     Leaving->m_LeftWhileStable ? "stable" : "unstable",
+                     m_Fleet.m_Store->revision()));
   });
   const milliseconds ServesOn =
       randomTime(static_cast<int>(LeastServesOn.count()),
@@ -983,6 +1006,7 @@
     Crashed->m_Searcher->server().crash(Downtime);
     Crashed->m_DownUntil = steady_clock::now() + Downtime;
     Crashed->m_NextHeartbeat = Crashed->m_DownUntil;
+    Crashed->m_ColdUntil = Crashed->m_DownUntil + ColdTime;
     Crashed->m_Searcher->m_Sequence = 0;
     Crashed->m_Searcher->m_Born += 1000 + Downtime.count();
   });
@@ -1042,7 +1066,18 @@
     return;
   m_StoreQuietFrom = SteadyTime::max();
   m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->saveCopy(); });
-  const milliseconds Lost = randomTime(1000, 6000);
+  milliseconds Lost = randomTime(1000, 6000);
+  if (m_Random() % 2 == 0) {
+    // All entries lapse and are back before the return: many revisions are
+    // lost, and few are assigned again.
+    const milliseconds Outage = randomTime(3700, 4500);
+    Lost = Outage + randomTime(1300, 2500);
+    m_Touch.begin("", steady_clock::now());
+    setStoreDown(true, true);
+    after(Outage, [this] { setStoreDown(false, true); });
+  } else {
+    changeInBurst();
+  }
   // What is written from here on is lost, even just before the return.
   for (const auto Change :
        {&DeploymentRun::addRoute, &DeploymentRun::dropRoute,
@@ -1055,12 +1090,15 @@
 }
 
 void DeploymentRun::returnFromCopy(int FurtherReturns) {
-  m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->m_IsDown = true; });
+  setStoreDown(true, false);
   // The operator can't write meanwhile either.
   std::this_thread::sleep_for(randomTime(100, 1000));
   const bool SavesAgain = m_Random() % 2 == 0;
   m_Fleet.runOnStandinThread([&] {
+    const std::uint64_t Last = m_Fleet.m_Store->revision();
     m_Fleet.m_Store->returnFromCopy();
+    note(fmt::format("  the store returns from revision {} to {}", Last,
+                     m_Fleet.m_Store->revision()));
     m_Fleet.m_Store->m_IsDown = false;
     if (SavesAgain)
       m_Fleet.m_Store->saveCopy();
@@ -1091,7 +1129,11 @@
     QTimer::singleShot(randomTime(0, static_cast<int>(RewriteTime.count())),
                        m_Context.get(), Write);
   };
-  Later([this] { m_Fleet.m_Store->put("config", "main", m_Config); });
+  Later([this] {
+    m_Fleet.m_Store->put("config", "main", m_Config);
+    note(fmt::format("  version {} is written again, revision {}",
+                     m_Config["version"].toInt(), m_Fleet.m_Store->revision()));
+  });
   // Those that write heartbeats go on with them.
   for (const auto &Each : m_Targets)
     if (!Each->m_WritesEntry)
@@ -1101,11 +1143,14 @@
 
 void DeploymentRun::takeStoreDown() {
   disruptStore(randomTime(1000, 4500), [this](bool IsDisrupted) {
-    const bool Lapses = m_Random() % 2 == 0;
-    m_Fleet.runOnStandinThread([&] {
-      m_LapsesWhileDown = Lapses;
-      m_Fleet.m_Store->m_IsDown = IsDisrupted;
-    });
+    setStoreDown(IsDisrupted, m_Random() % 2 == 0);
+  });
+}
+
+void DeploymentRun::setStoreDown(bool IsDown, bool Lapses) {
+  m_Fleet.runOnStandinThread([&] {
+    m_LapsesWhileDown = Lapses;
+    m_Fleet.m_Store->m_IsDown = IsDown;
   });
 }
 
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -79,7 +79,8 @@
     bool m_WritesEntry = true; ///< Sends heartbeats, unless it is down.
     SteadyTime m_NextHeartbeat;
     SteadyTime m_DownUntil; ///< Crashed until then.
-    SteadyTime m_LapsesAt;  ///< Its entry, without another heartbeat.
+    SteadyTime m_ColdUntil;
+    SteadyTime m_LapsesAt; ///< Its entry, without another heartbeat.
     SteadyTime m_PausePhase;
     std::deque<std::function<void()>> m_Queue;
     SteadyTime m_LeftAt = SteadyTime::max(); ///< Acknowledged by the store.
@@ -140,6 +141,8 @@
   void checkDrain(const Target &Receiver, const std::string &Id,
                   SteadyTime Now);
   void fail(const std::string &Rule, const std::string &Message);
+  /** Prints \p Text with the time of day if the run is verbose. */
+  void note(const std::string &Text) const;
   void after(std::chrono::milliseconds Delay, std::function<void()> Task);
   void runDueTasks();
   std::chrono::milliseconds randomTime(int MinMs, int MaxMs);
@@ -153,6 +156,7 @@
   void leave(bool Announced);
   void returnFromCopy(int FurtherReturns);
   void writeAgain();
+  void setStoreDown(bool IsDown, bool Lapses);
   void disruptStore(std::chrono::milliseconds Time,
                     const std::function<void(bool IsDisrupted)> &Apply);
   void forEachProxy(const std::function<void(FaultProxy &)> &Apply);
--- a/test/standin/RoutedStandins.cpp
+++ b/test/standin/RoutedStandins.cpp
@@ -374,7 +374,7 @@
           {"version", "v1"},
           {"slots", 4},
           {"state", toQString(State)},
-          {"cold_remaining_ms", 0},
+          {"cold_remaining_ms", qint64{m_ColdRemaining.count()}},
           {"sequence", qint64{m_Sequence}},
           {"born", qint64{m_Born}}};
 }
--- a/test/standin/RoutedStandins.h
+++ b/test/standin/RoutedStandins.h
@@ -183,9 +183,10 @@
   std::function<void(const SimpleHttpRequest &, SimpleHttpResponder)>
       m_RunHandler;
   std::chrono::milliseconds m_Delay{1};
-  std::string m_Body = "0123456789abcdef"; ///< Reply body: one record.
-  std::int64_t m_Sequence = 4;             ///< Of the last heartbeat.
-  std::int64_t m_Born = 1785822630279;     ///< Start, in Unix milliseconds.
+  std::string m_Body = "0123456789abcdef";      ///< Reply body: one record.
+  std::chrono::milliseconds m_ColdRemaining{0}; ///< As its entry says.
+  std::int64_t m_Sequence = 4;                  ///< Of the last heartbeat.
+  std::int64_t m_Born = 1785822630279; ///< Start, in Unix milliseconds.
   std::vector<SimpleHttpRequest> m_RunRequests;
   std::vector<std::string> m_DeadlineHeaders; ///< In order of arrival.
 
