Save no copy of another writer's configuration, and print more failures

A VM that starts from such a copy could keep its content until the operator's next version, which no rule forbids. The entries' life starts with the run, not while VMs are still being started.

--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -50,7 +50,7 @@
 constexpr milliseconds StepInterval{300};
 constexpr milliseconds TaskInterval{20};
 constexpr milliseconds LagInterval{5};
-constexpr std::size_t MaxFailures = 40;
+constexpr std::size_t MaxFailuresPerRule = 20; ///< That are printed.
 /** Dropped routes are probed for so long. */
 constexpr seconds DroppedProbeTime{15};
 constexpr int ProbesPerConnection = 2;
@@ -307,6 +307,7 @@
                      m_Fleet.m_Store->revision()));
   });
   m_ConfigAckedAt = steady_clock::now();
+  m_IsConfigForeign = false;
 }
 
 // Targets.
@@ -572,10 +573,12 @@
       *Last = Now;
     });
     Ticks->start(LagInterval);
-    for (const auto &Each : m_Targets)
+    const SteadyTime Start = steady_clock::now();
+    for (const auto &Each : m_Targets) {
       Each->m_NextHeartbeat =
-          steady_clock::now() +
-          randomTime(0, static_cast<int>(HeartbeatInterval.count()));
+          Start + randomTime(0, static_cast<int>(HeartbeatInterval.count()));
+      Each->m_LapsesAt = Start + EntryLifetime;
+    }
     auto *Heartbeats = new QTimer(m_Context.get());
     QObject::connect(Heartbeats, &QTimer::timeout, Heartbeats,
                      [this] { writeHeartbeats(steady_clock::now()); });
@@ -643,8 +646,7 @@
 
 void DeploymentRun::fail(const std::string &Rule, const std::string &Message) {
   const std::lock_guard Lock(m_Mutex);
-  ++m_FailureCounts[Rule];
-  if (m_Failures.size() < MaxFailures)
+  if (++m_FailureCounts[Rule] <= MaxFailuresPerRule)
     m_Failures.push_back(Rule + ": " + Message);
 }
 
@@ -887,6 +889,7 @@
   if (steady_clock::now() - m_ConfigAckedAt < ConfigTime)
     return;
   const bool IsEqual = m_Random() % 2 == 0;
+  m_IsConfigForeign = true;
   m_Fleet.runOnStandinThread([&] {
     QJsonObject Foreign = m_Config;
     QJsonArray Routes;
@@ -1062,7 +1065,8 @@
 }
 
 void DeploymentRun::returnStore() {
-  if (steady_clock::now() < m_StoreQuietFrom)
+  // A copy of a foreign version would hold until the operator's next one.
+  if (steady_clock::now() < m_StoreQuietFrom || m_IsConfigForeign)
     return;
   m_StoreQuietFrom = SteadyTime::max();
   m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->saveCopy(); });
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -199,6 +199,7 @@
   bool m_LapsesWhileDown = false; ///< Used on the stand-ins' thread.
   QJsonObject m_Config;           ///< Sent last; used on the stand-ins' thread.
   SteadyTime m_ConfigAckedAt;
+  bool m_IsConfigForeign = false; ///< The store holds another writer's.
   SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
   std::multimap<SteadyTime, std::function<void()>> m_Tasks;
 
