--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -606,6 +606,8 @@
     while (steady_clock::now() < NextStep) {
       std::this_thread::sleep_for(TaskInterval);
       runDueTasks();
+      if (m_IsReturnDue)
+        returnStore();
     }
     const Step &Next = steps()[Choice(m_Random)];
     note(Next.m_Name);
@@ -1029,7 +1031,7 @@
 void DeploymentRun::disruptStore(
     milliseconds Time, const std::function<void(bool IsDisrupted)> &Apply) {
   const SteadyTime Now = steady_clock::now();
-  if (Now < m_StoreQuietFrom)
+  if (Now < m_StoreQuietFrom || m_IsReturnDue)
     return;
   m_StoreQuietFrom = Now + Time + StoreQuietTime;
   m_Touch.begin("", Now);
@@ -1066,7 +1068,8 @@
 
 void DeploymentRun::returnStore() {
   // A copy of a foreign version would hold until the operator's next one.
-  if (steady_clock::now() < m_StoreQuietFrom || m_IsConfigForeign)
+  m_IsReturnDue = steady_clock::now() < m_StoreQuietFrom || m_IsConfigForeign;
+  if (m_IsReturnDue)
     return;
   m_StoreQuietFrom = SteadyTime::max();
   m_Fleet.runOnStandinThread([&] { m_Fleet.m_Store->saveCopy(); });
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -200,6 +200,7 @@
   QJsonObject m_Config;           ///< Sent last; used on the stand-ins' thread.
   SteadyTime m_ConfigAckedAt;
   bool m_IsConfigForeign = false; ///< The store holds another writer's.
+  bool m_IsReturnDue = false;     ///< Of the store, once it is quiet.
   SteadyTime m_StoreQuietFrom; ///< No further disruption of the store before.
   std::multimap<SteadyTime, std::function<void()>> m_Tasks;
 
