Test more of what the checks on configurations pass over

Cause: a trial that changed single comparisons in ConfigChecks.cpp left some changes unnoticed by the tests.

Change: cases for a version sent again, unacknowledged versions, foreign documents sent later, exact time-outs, windows and weights of splits.

--- a/test/correctness/ConfigChecksTest.cpp
+++ b/test/correctness/ConfigChecksTest.cpp
@@ -172,6 +172,14 @@
   BOOST_TEST(count(ConfigFault::OutdatedVersion) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(OldService_ofAVersionSentAgain_countsFromItsFirstAck) {
+  publish(1, {Base}, 0);
+  publish(4, {Moved}, 10000);
+  m_Checks.onPublished(4, {Moved}, at(12000));
+  run("/base/x", "first", 13100);
+  BOOST_TEST(count(ConfigFault::OutdatedVersion) == 1);
+}
+
 // An unacknowledged version that may be in force again allows it.
 BOOST_AUTO_TEST_CASE(OldService_namedAgainByAVersionSentLater_isAllowed) {
   publish(1, {Base}, 0);
@@ -246,6 +254,16 @@
       "(bound 3000 ms)"));
 }
 
+BOOST_AUTO_TEST_CASE(Lateness_ofAVmThatMissedAnUnacknowledged_countsFromAnAck) {
+  publish(1, {Base}, 0);
+  m_Checks.onPublished(4, {Moved}, at(10000));
+  publish(6, {Moved, Added}, 11000);
+  run("/base/x", "first", 15010);
+  BOOST_TEST(firstMessage().ends_with(
+      "version 6 is due, and it was sent 4000 ms after the ack of version 6 "
+      "(bound 3000 ms)"));
+}
+
 // Such a run breaks rule ROUTE.
 BOOST_AUTO_TEST_CASE(Service_thatNoVersionNames_isNotReported) {
   publish(1, {Base}, 0);
@@ -284,6 +302,13 @@
   BOOST_TEST(violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(ForeignDocument_sentAfterTheArrival_isNotReported) {
+  publish(4, {Base}, 0);
+  run("/base/x", "second", 5000);
+  m_Checks.onForeignPublished(4, {Moved}, at(5100));
+  BOOST_TEST(violations().empty());
+}
+
 // Regression in one boot.
 
 BOOST_AUTO_TEST_CASE(OldService_afterTheNewOneWasSeen_isReported) {
@@ -361,12 +386,21 @@
   BOOST_TEST(violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Service_namedOnlyByAVersionSentLater_showsNoEffect) {
+  publish(1, {Base}, 0);
+  run("/base/x", "second", 5000);
+  run("/base/x", "first", 6000);
+  publish(4, {Moved}, 10000);
+  BOOST_TEST(violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(EventsReportedLate_areJudgedByTheirTimes) {
+  run("/base/x", "first", 10400);
   run("/base/x", "first", 10400);
   run("/base/x", "second", 10100);
   publish(4, {Moved}, 10000);
   publish(1, {Base}, 0);
-  BOOST_TEST(count(ConfigFault::Regression) == 1);
+  BOOST_TEST(count(ConfigFault::Regression) == 2);
 }
 
 // Routes that were added later.
@@ -480,6 +514,8 @@
     m_Checks.onAbandoned(send("/base/x", 5000), at(5900));
   }
   BOOST_TEST(violations().empty());
+  m_Checks.onAnswered(send("/base/x", 5000), 504, at(6600));
+  BOOST_TEST(firstMessage().starts_with("1 of 1 requests"));
 }
 
 // An answer in time doesn't hide a request that stays open.
@@ -502,6 +538,15 @@
   BOOST_TEST(violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    AnsweredRequest_whoseConnectionIsClosedLater_hasItsAnswer) {
+  publish(1, {Base}, 0);
+  const std::string Id = send("/base/x", 5000);
+  m_Checks.onAnswered(Id, 200, at(5500));
+  m_Checks.onClosed(Id, at(7000));
+  BOOST_TEST(violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(Timeout_whileTwoMayHold_isTheLongerOne) {
   publish(1, {makeRoute("/base/", "first", milliseconds(3000))}, 0);
   publish(4, {Base}, 10000);
@@ -566,11 +611,24 @@
   publish(1, {makeSplit()}, 0);
   for (int I = 0; I < 1000; ++I)
     run("/split/x", I % 4 == 0 ? "small" : "large", 5000 + I);
+  BOOST_TEST(violations().empty());
   for (int I = 0; I < 200; ++I)
     run("/split/x", "large", 6000 + I);
   BOOST_TEST(count(ConfigFault::SplitShare) == 2);
 }
 
+BOOST_AUTO_TEST_CASE(Shares_ofOtherWeights_areCountedApart) {
+  CheckedRoute Turned = makeSplit();
+  std::swap(Turned.m_Parts[0].m_Weight, Turned.m_Parts[1].m_Weight);
+  publish(1, {makeSplit()}, 0);
+  publish(2, {Turned}, 9000);
+  for (int I = 0; I < 400; ++I) {
+    run("/split/x", I % 4 == 0 ? "small" : "large", 5000 + I);
+    run("/split/x", I % 4 == 0 ? "large" : "small", 15000 + I);
+  }
+  BOOST_TEST(violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(Request_thatMovesToAnotherPart_countsAtBoth) {
   publish(1, {makeSplit()}, 0);
   for (int I = 0; I < 200; ++I) {
@@ -611,8 +669,8 @@
   publish(1, {Base}, 0);
   publish(4, {Moved}, 10000);
   publish(6, {Moved, Added}, 11000);
-  run("/base/x", "first", 10510);
   run("/base/x", "first", 11210);
+  run("/base/x", "first", 10510);
   run("/base/x", "second", 11900);
   m_OutOfTouch.insert("vm-2");
   refuse("/added/x", 404, 19010, "vm-2");
@@ -621,7 +679,7 @@
   BOOST_TEST_REQUIRE(All.size() == 3);
   BOOST_TEST(All[0].m_Vm == "vm-1");
   BOOST_TEST(All[0].m_Version == 4);
-  BOOST_TEST(All[0].m_RequestId == "vm-1/2");
+  BOOST_TEST(All[0].m_RequestId == "vm-1/1");
   BOOST_TEST((All[0].m_Lateness == milliseconds(1200)));
   BOOST_TEST(All[0].m_WasInTouch);
   BOOST_TEST(All[1].m_Version == 6);
@@ -631,7 +689,7 @@
   BOOST_TEST(!All[2].m_WasInTouch);
   BOOST_TEST(m_Checks.summary() ==
              "last act on an older configuration, in touch: 1200 ms (vm-1, "
-             "version 4, vm-1/2), bound 3000 ms; out of touch: 8000 ms (vm-2, "
+             "version 4, vm-1/1), bound 3000 ms; out of touch: 8000 ms (vm-2, "
              "version 6, vm-2/4); by VM: vm-1 1200 ms vm-2 0 ms vm-3 0 ms");
   BOOST_TEST(violations().empty());
 }
--- a/test/support/ConfigChecks.cpp
+++ b/test/support/ConfigChecks.cpp
@@ -547,6 +547,7 @@
       }
     }
   std::vector<LastOldAct> All;
+  All.reserve(Latest.size());
   for (const auto &[Key, Each] : Latest)
     All.push_back(Each);
   return All;
