--- a/test/correctness/ConfigChecksTest.cpp
+++ b/test/correctness/ConfigChecksTest.cpp
@@ -2,6 +2,7 @@
  * report, and what they let pass. */
 
 #include "support/ConfigChecks.h"
+#include "protocol/JsonConvert.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -45,7 +46,7 @@
   }
   std::string send(const std::string &Path, int SentAt,
                    const std::string &Vm = "vm-1") {
-    const std::string Id = fmt::format("{}/{}", Vm, ++m_Count);
+    std::string Id = fmt::format("{}/{}", Vm, ++m_Count);
     m_Checks.onSent(Vm, Id, Path, at(SentAt));
     return Id;
   }
@@ -96,6 +97,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(ConfigChecksTest, ConfigChecksFixture)
 
+BOOST_AUTO_TEST_CASE(CheckedRoutes_ofAWrittenConfiguration_areItsRoutes) {
+  const Routes Read = checkedRoutes(figturn::parseJsonObject(R"({"routes": [
+      {"path_prefix": "/a/", "service": "s", "timeout_ms": 900},
+      {"path_prefix": "/b/", "timeout_ms": 80, "traffic_split": [
+        {"service": "s", "weight": 3}, {"service": "t", "weight": 1}]},
+      {"path_prefix": "/c/", "gather": ["s-0", "s-1"]}]})"));
+  BOOST_TEST_REQUIRE(Read.size() == 3);
+  BOOST_TEST(Read[0].m_Prefix == "/a/");
+  BOOST_TEST((Read[0].m_Timeout == milliseconds(900)));
+  BOOST_TEST(!Read[0].m_IsSplit);
+  BOOST_TEST_REQUIRE(Read[0].m_Parts.size() == 1);
+  BOOST_TEST(Read[0].m_Parts[0].m_Service == "s");
+  BOOST_TEST(Read[1].m_IsSplit);
+  BOOST_TEST_REQUIRE(Read[1].m_Parts.size() == 2);
+  BOOST_TEST(Read[1].m_Parts[0].m_Weight == 3);
+  BOOST_TEST(Read[1].m_Parts[1].m_Service == "t");
+  BOOST_TEST(!Read[2].m_IsSplit);
+  BOOST_TEST(Read[2].m_Parts.size() == 2);
+  BOOST_TEST(Read[2].m_Parts[1].m_Service == "s-1");
+}
+
+BOOST_AUTO_TEST_CASE(CheckedRoutes_ofAnUnusableDocument_areNone) {
+  BOOST_TEST(
+      checkedRoutes(figturn::parseJsonObject(R"({"routes": 7})")).empty());
+}
+
 // A request that an older version alone allows.
 
 BOOST_AUTO_TEST_CASE(OldService_laterThanTheBound_isReported) {
--- a/test/support/ConfigChecks.cpp
+++ b/test/support/ConfigChecks.cpp
@@ -1,5 +1,9 @@
 #include "support/ConfigChecks.h"
 
+#include "protocol/JsonConvert.h"
+
+#include <QJsonArray>
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -35,6 +39,30 @@
 
 } // namespace
 
+std::vector<CheckedRoute> checkedRoutes(const QJsonObject &Config) {
+  std::vector<CheckedRoute> Routes;
+  const QJsonArray Listed = Config["routes"].toArray();
+  for (const QJsonValue &Each : Listed) {
+    const QJsonObject Described = Each.toObject();
+    const QJsonArray Parts = Described["traffic_split"].toArray();
+    const QJsonArray Shards = Described["gather"].toArray();
+    CheckedRoute &Route = Routes.emplace_back(CheckedRoute{
+        .m_Prefix = stringAt(Described, "path_prefix"),
+        .m_Parts = {},
+        .m_Timeout = milliseconds(Described["timeout_ms"].toInteger()),
+        .m_IsSplit = !Parts.isEmpty()});
+    for (const QJsonValue &Part : Parts)
+      Route.m_Parts.push_back(
+          {.m_Service = stringAt(Part.toObject(), "service"),
+           .m_Weight = Part["weight"].toDouble()});
+    for (const QJsonValue &Shard : Shards)
+      Route.m_Parts.push_back({.m_Service = Shard.toString().toStdString()});
+    if (Described.contains("service"))
+      Route.m_Parts.push_back({.m_Service = stringAt(Described, "service")});
+  }
+  return Routes;
+}
+
 // Events.
 
 void ConfigChecks::onPublished(int Number, std::vector<CheckedRoute> Routes,
--- a/test/support/ConfigChecks.h
+++ b/test/support/ConfigChecks.h
@@ -8,6 +8,8 @@
  * the complete history is judged.
  */
 
+#include <QJsonObject>
+
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -38,6 +40,10 @@
   bool m_HasHomes = false; ///< Its shares aren't checked.
 };
 
+/** The routes of a configuration as the operator writes it; none if they can't
+ *  be read. */
+std::vector<CheckedRoute> checkedRoutes(const QJsonObject &Config);
+
 enum class ConfigFault {
   OutdatedVersion,  ///< Handled as only an older version than the due one.
   ForbiddenVersion, ///< Handled as by a document that must never take effect.
