Test the order and origin of what the checks on configurations count

Cause: three changes of ConfigChecks.cpp (running maximum of effects, effects of refusals, order of a split's requests) were not noticed by the tests; the linter refused implicit conversions in loops.

Change: a case for each; loops over JSON arrays without conversions.

--- a/test/correctness/ConfigChecksTest.cpp
+++ b/test/correctness/ConfigChecksTest.cpp
@@ -404,6 +404,25 @@
   BOOST_TEST(count(ConfigFault::Regression) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(Regression_afterAnOldActWithinTheSlack_isReported) {
+  publish(1, {Base}, 0);
+  publish(4, {Moved}, 10000);
+  run("/base/x", "second", 10100);
+  run("/base/x", "first", 10200);
+  BOOST_TEST(violations().empty());
+  run("/base/x", "first", 10500);
+  BOOST_TEST(count(ConfigFault::Regression) == 1);
+}
+
+// Only what a target saw counts.
+BOOST_AUTO_TEST_CASE(DroppedRoute_runAfterARefusal_isAllowed) {
+  publish(1, {Base, Added}, 0);
+  publish(4, {Base}, 10000);
+  refuse("/added/x", 404, 10100);
+  run("/added/x", "first", 11000);
+  BOOST_TEST(violations().empty());
+}
+
 // The target's receipt of what older versions allow, too, shows no effect.
 BOOST_AUTO_TEST_CASE(EffectOfAllVersions_beforeAnOldOne_isAllowed) {
   publish(1, {Base, Added}, 0);
@@ -656,6 +675,15 @@
   BOOST_TEST(violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Shares_areCountedInTheOrderOfSending) {
+  publish(1, {makeSplit()}, 0);
+  for (int I = 0; I < 300; ++I)
+    run("/split/x", "large", 5000 + 10 * I);
+  for (int I = 0; I < 100; ++I)
+    run("/split/x", "small", 5000 + 30 * I);
+  BOOST_TEST(violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(Request_thatMovesToAnotherPart_countsAtBoth) {
   publish(1, {makeSplit()}, 0);
   for (int I = 0; I < 200; ++I) {
--- a/test/support/ConfigChecks.cpp
+++ b/test/support/ConfigChecks.cpp
@@ -42,7 +42,7 @@
 std::vector<CheckedRoute> checkedRoutes(const QJsonObject &Config) {
   std::vector<CheckedRoute> Routes;
   const QJsonArray Listed = Config["routes"].toArray();
-  for (const QJsonValue &Each : Listed) {
+  for (const auto &Each : Listed) {
     const QJsonObject Described = Each.toObject();
     const QJsonArray Parts = Described["traffic_split"].toArray();
     const QJsonArray Shards = Described["gather"].toArray();
@@ -51,11 +51,11 @@
         .m_Parts = {},
         .m_Timeout = milliseconds(Described["timeout_ms"].toInteger()),
         .m_IsSplit = !Parts.isEmpty()});
-    for (const QJsonValue &Part : Parts)
+    for (const auto &Part : Parts)
       Route.m_Parts.push_back(
           {.m_Service = stringAt(Part.toObject(), "service"),
-           .m_Weight = Part["weight"].toDouble()});
-    for (const QJsonValue &Shard : Shards)
+           .m_Weight = Part.toObject()["weight"].toDouble()});
+    for (const auto &Shard : Shards)
       Route.m_Parts.push_back({.m_Service = Shard.toString().toStdString()});
     if (Described.contains("service"))
       Route.m_Parts.push_back({.m_Service = stringAt(Described, "service")});
