Satisfy the linter in LearningLog, and say when an ack is taken

An ack that is taken after put() may be later than the line of a VM that learned at once, which then wouldn't match.

--- a/test/support/LearningLog.h
+++ b/test/support/LearningLog.h
@@ -24,7 +24,8 @@
   std::uint64_t m_Era = 0;      ///< Of the store; 0 if lines don't name it.
   std::uint64_t m_Revision = 0; ///< Not needed if m_ConfigVersion is set.
   std::uint64_t m_ConfigVersion = 0;
-  std::int64_t m_AckMs = 0; ///< Unix time.
+  /** Unix time, taken before the store tells its watchers. */
+  std::int64_t m_AckMs = 0;
 };
 
 /** How VMs learned changes. */
@@ -33,7 +34,7 @@
   std::string m_Way;
   std::string m_Role;
 
-  auto operator<=>(const LearningGroup &) const = default;
+  auto operator<=>(const LearningGroup &) const = default; // NOLINT
 };
 
 /** The times of one group. */
