Check all CONFIG rules in deployments, and time what VMs learn

The play feeds what the operator, callers and targets observe to ConfigChecks, and the store's acknowledgements and the VMs' log lines to LearningLog; it prints the worst time of each way of learning beside the bound. The end of a disruption now reaches VMs that have become busy since: one that was stopped while the store's replies were lost kept its broken proxy and counted as in touch.

--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -47,6 +47,8 @@
 constexpr int RequestsPerConnection = 40;
 constexpr milliseconds CallerInterval{260};
 constexpr milliseconds ProbeInterval{400};
+/** Just below the time-out of RawClient::receive(). */
+constexpr seconds ReceiveTimeout{19};
 constexpr milliseconds StepInterval{300};
 constexpr milliseconds TaskInterval{20};
 constexpr milliseconds LagInterval{5};
@@ -76,6 +78,12 @@
 constexpr std::string_view AddedPrefix = "/added/";
 constexpr std::string_view FloodPath = "/flood/";
 
+std::int64_t unixMillis() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string shardName(std::size_t Number) {
   return fmt::format("crew-portal-{}", Number);
 }
@@ -129,7 +137,16 @@
 
 DeploymentRun::DeploymentRun(DeploymentOptions Options)
     : m_Options(std::move(Options)), m_Random(m_Options.m_Seed),
-      m_Fleet(firstLoopbackAddress()) {
+      m_Fleet(firstLoopbackAddress()),
+      m_ConfigChecks({.m_IsInTouch =
+                          [this](const std::string &Vm, SteadyTime Since,
+                                 SteadyTime Until) {
+                            return m_Touch.isInTouch(Vm, Since, Until);
+                          },
+                      .m_IsSlowed =
+                          [this](const std::string &, SteadyTime, SteadyTime) {
+                            return m_Options.m_CpuShare < 1;
+                          }}) {
   m_Fleet.m_GraceSeconds = 6;
   if (!m_Options.m_Binary.empty())
     m_Fleet.m_Binary = m_Options.m_Binary;
@@ -162,6 +179,11 @@
       Each.join();
   if (m_Sharer.joinable())
     m_Sharer.join();
+  for (const auto &Each : m_Vms)
+    collectLearning(*Each);
+  for (const test::ConfigViolation &Each :
+       m_ConfigChecks.violations(steady_clock::now()))
+    fail(Each.m_Rule, Each.m_Message);
   m_Fleet.m_Vms.clear();
   m_Fleet.runOnStandinThread([this] {
     for (const auto &Each : m_Vms)
@@ -299,14 +321,22 @@
   QJsonObject Limits = Config["limits"].toObject();
   Limits["body_bytes"] = static_cast<qint64>(BodyLimit);
   Config["limits"] = Limits;
+  m_ConfigChecks.onPublished(m_ConfigVersion, test::checkedRoutes(Config),
+                             steady_clock::now());
   m_Fleet.runOnStandinThread([&] {
     m_Config = Config;
+    const std::int64_t AckMs = unixMillis();
     m_Fleet.m_Store->put("config", "main", Config);
+    m_Learning.onAck(
+        {.m_Part = "config",
+         .m_ConfigVersion = static_cast<std::uint64_t>(m_ConfigVersion),
+         .m_AckMs = AckMs});
     note(fmt::format("  version {} with {} routes has revision {}",
                      m_ConfigVersion, Routes.size(),
                      m_Fleet.m_Store->revision()));
   });
   m_ConfigAckedAt = steady_clock::now();
+  m_ConfigChecks.onAcknowledged(m_ConfigVersion, m_ConfigAckedAt);
   m_IsConfigForeign = false;
 }
 
@@ -315,6 +345,8 @@
 void DeploymentRun::onArrival(Target &Receiver,
                               const standin::SimpleHttpRequest &Request,
                               const standin::SimpleHttpResponder &Reply) {
+  m_ConfigChecks.onArrival(Request.header("x-request-id"), Receiver.m_Service,
+                           steady_clock::now());
   checkDrain(Receiver, Request.header("x-request-id"), steady_clock::now());
   if (Receiver.m_Working < Receiver.m_Slots) {
     startWork(Receiver, Request, Reply);
@@ -426,6 +458,7 @@
     m_Sent[Id] = {.m_Vm = VmName, .m_At = SentAt};
     Limit = m_LeastBodyLimit;
   }
+  m_ConfigChecks.onSent(VmName, Id, Path, SentAt);
   for (std::size_t Offset = 0; Offset < Bytes.size();) {
     const std::size_t Size =
         InChunks ? 1 + Random() % std::min<std::size_t>(Bytes.size(), 9000)
@@ -437,6 +470,12 @@
   const auto Reply = Client.receive();
   const unsigned Status = Reply ? Reply->m_Status : 0;
   const SteadyTime Now = steady_clock::now();
+  if (Reply)
+    m_ConfigChecks.onAnswered(Id, Status, Now);
+  else if (Now - SentAt < ReceiveTimeout)
+    m_ConfigChecks.onClosed(Id, Now);
+  else
+    m_ConfigChecks.onAbandoned(Id, Now);
   bool IsAllowed = Body.size() <= Limit;
   {
     const std::lock_guard Lock(m_Mutex);
@@ -643,7 +682,7 @@
     for (const auto &[Status, Count] : Statuses)
       Summary += fmt::format("{}x{},", Count, Status);
   }
-  return Summary;
+  return Summary + "\n" + m_ConfigChecks.summary() + "\n" + m_Learning.report();
 }
 
 void DeploymentRun::fail(const std::string &Rule, const std::string &Message) {
@@ -734,6 +773,8 @@
   Restarted.m_Process->m_Process->waitForExit();
   if (m_Random() % 4 == 0)
     addRoute();
+  collectLearning(Restarted);
+  m_ConfigChecks.onVmStarted(Restarted.m_Name, steady_clock::now());
   m_Fleet.launch(*Restarted.m_Process, false);
   setShared(Restarted, true);
   release(Restarted);
@@ -900,6 +941,9 @@
     Foreign["routes"] = IsEqual ? QJsonValue(Routes) : QJsonValue(7);
     if (!IsEqual)
       Foreign["version"] = m_ConfigVersion + 1;
+    m_ConfigChecks.onForeignPublished(Foreign["version"].toInt(),
+                                      test::checkedRoutes(Foreign),
+                                      steady_clock::now());
     m_Fleet.m_Store->put("config", "main", Foreign);
     note(fmt::format("  foreign {} version has revision {}",
                      IsEqual ? "equal" : "invalid",
@@ -955,6 +999,7 @@
   addTarget(Leaving->m_Service);
   m_Fleet.runOnStandinThread([&] {
     const SteadyTime Now = steady_clock::now();
+    const std::int64_t AckMs = unixMillis();
     Leaving->m_IsLeaving = Announced;
     if (Announced)
       writeEntry(*Leaving, Now);
@@ -962,6 +1007,11 @@
       removeEntry(*Leaving);
     Leaving->m_LeftAt = steady_clock::now();
     Leaving->m_LeftWhileStable = m_Touch.isStoreStable(Leaving->m_LeftAt);
+    // A change that a return may lose has no revision to wait for.
+    if (Leaving->m_LeftWhileStable)
+      m_Learning.onAck({.m_Part = "targets",
+                        .m_Revision = m_Fleet.m_Store->revision(),
+                        .m_AckMs = AckMs});
     note(fmt::format("  {} {}, {}, revision {}", Leaving->m_Id,
                      Announced ? "drains" : "is removed",
                      Leaving->m_LeftWhileStable ? "stable" : "unstable",
@@ -1020,14 +1070,19 @@
 // The store.
 
 void DeploymentRun::forEachProxy(
-    const std::function<void(FaultProxy &)> &Apply) {
+    bool IncludeBusyVms, const std::function<void(FaultProxy &)> &Apply) {
   m_Fleet.runOnStandinThread([&] {
     for (const auto &Each : m_Vms)
-      if (!Each->m_IsBusy)
+      if (IncludeBusyVms || !Each->m_IsBusy)
         Apply(*Each->m_Store);
   });
 }
 
+void DeploymentRun::collectLearning(const Vm &Source) {
+  for (const std::string &Line : Source.m_Process->m_Process->lines())
+    m_Learning.addLine(Source.m_Name, Line);
+}
+
 void DeploymentRun::disruptStore(
     milliseconds Time, const std::function<void(bool IsDisrupted)> &Apply) {
   const SteadyTime Now = steady_clock::now();
@@ -1046,7 +1101,8 @@
   disruptStore(milliseconds(1), [this](bool IsDisrupted) {
     if (!IsDisrupted)
       return;
-    forEachProxy([](FaultProxy &Each) { Each.silenceOpenConnections(); });
+    forEachProxy(false,
+                 [](FaultProxy &Each) { Each.silenceOpenConnections(); });
     // What the operator and the targets say now reaches no VM by these.
     after(randomTime(0, 1500), [this] { addRoute(); });
     after(randomTime(4000, 5000), [this] { drainTarget(); });
@@ -1163,7 +1219,7 @@
 
 void DeploymentRun::slowStore() {
   disruptStore(randomTime(1000, 4500), [this](bool IsDisrupted) {
-    forEachProxy([&](FaultProxy &Each) {
+    forEachProxy(!IsDisrupted, [&](FaultProxy &Each) {
       Each.setMode(IsDisrupted ? ProxyMode::Delay : ProxyMode::Forward);
     });
   });
@@ -1171,7 +1227,7 @@
 
 void DeploymentRun::loseStoreReplies() {
   disruptStore(randomTime(1000, 4500), [this](bool IsDisrupted) {
-    forEachProxy([&](FaultProxy &Each) {
+    forEachProxy(!IsDisrupted, [&](FaultProxy &Each) {
       // A connection that has lost a reply stays silent.
       if (!IsDisrupted)
         Each.silenceOpenConnections();
--- a/test/soak/DeploymentRun.h
+++ b/test/soak/DeploymentRun.h
@@ -11,6 +11,8 @@
 
 #include "soak/FaultProxy.h"
 #include "soak/TouchLog.h"
+#include "support/ConfigChecks.h"
+#include "support/LearningLog.h"
 #include "support/RoutedFleet.h"
 
 #include <atomic>
@@ -159,7 +161,11 @@
   void setStoreDown(bool IsDown, bool Lapses);
   void disruptStore(std::chrono::milliseconds Time,
                     const std::function<void(bool IsDisrupted)> &Apply);
-  void forEachProxy(const std::function<void(FaultProxy &)> &Apply);
+  /** A disruption spares busy VMs; its end doesn't, as a VM may have become
+   *  busy since it began. */
+  void forEachProxy(bool IncludeBusyVms,
+                    const std::function<void(FaultProxy &)> &Apply);
+  void collectLearning(const Vm &Source);
 
   void stopVm();
   void killVm();
@@ -192,6 +198,10 @@
   test::RoutedFleet m_Fleet;
   std::unique_ptr<QObject> m_Context; ///< Lives on the stand-ins' thread.
   TouchLog m_Touch;
+  test::ConfigChecks m_ConfigChecks;
+  /** Of acknowledgements by the stand-ins' thread, and of lines by the run's
+   *  thread while it doesn't publish or remove anything. */
+  test::LearningLog m_Learning;
   std::vector<std::unique_ptr<Vm>> m_Vms;
   std::vector<std::unique_ptr<Target>> m_Targets;
   std::size_t m_TargetsCreated = 0;
