--- a/src/state/StateVersion.h
+++ b/src/state/StateVersion.h
@@ -37,7 +37,7 @@
   std::uint64_t m_Number = 0;
 
   friend auto operator<=>(const StateRevision &,
-                          const StateRevision &) = default;
+                          const StateRevision &) = default; // NOLINT
 };
 
 /** Revisions of the platform's store up to which each part is known. */
