Count what ConfigChecks finds, and let the player read the VMs' lines

The player judged its configurations in its destructor, after the failures had been counted, so that a play passed whatever ConfigChecks found; only its summary was printed. And state-version-applied names revisions as ERA.NUMBER, which LearningLog can't read, so that no change of a target was ever timed.

The run judges before it returns. The line names era and revision apart, and ReturnedStoreTest (process) feeds the real lines to LearningLog. The log tells VMs in touch and disturbed ones apart; only the former have the bound. The set-up that four cases of ReturnedStoreTest repeated is one function.

--- a/src/coordination/LearningTimes.cpp
+++ b/src/coordination/LearningTimes.cpp
@@ -96,9 +96,10 @@
     m_Times[{Applied.m_Part, Way}].record(Now - ProvenAt);
   logEvent(
       Event::StateVersionApplied,
-      "part={} way={} revision={} config={} unix_ms={} unproven_ms={} "
+      "part={} way={} era={} revision={} config={} unix_ms={} unproven_ms={} "
       "since_fresh_ms={} role={} role_ms={}",
-      learnedPartName(Applied.m_Part), learningWayName(Way), Applied.m_Revision,
+      learnedPartName(Applied.m_Part), learningWayName(Way),
+      Applied.m_Revision.m_Era, Applied.m_Revision.m_Number,
       Applied.m_ConfigVersion,
       std::chrono::floor<milliseconds>(WallTime).time_since_epoch().count(),
       millisSince(ProvenAt, Now), millisSince(Applied.m_FreshAt, Now),
--- a/test/correctness/LearningLogTest.cpp
+++ b/test/correctness/LearningLogTest.cpp
@@ -132,6 +132,25 @@
   BOOST_TEST(Log.summaries().begin()->second.m_WorstMs == 800);
 }
 
+BOOST_AUTO_TEST_CASE(Change_ofADisturbedVm_isCountedApart) {
+  std::int64_t Until = 0;
+  LearningLog Log([&Until](const std::string &, std::int64_t,
+                           std::int64_t End) { return End <= Until; });
+  Log.addLine("vm-1", makeLine({.m_Revision = 3,
+                                .m_UnixMs = Ack - 10'000,
+                                .m_Unproven = "none"}));
+  Log.onAck({.m_Part = "targets", .m_Revision = 7, .m_AckMs = Ack});
+  Until = Ack + LearningLog::BoundMs;
+  BOOST_TEST(Log.unlearnedCount() == 1U);
+  --Until;
+  BOOST_TEST(Log.unlearnedCount() == 0U);
+  Log.addLine("vm-1", makeLine({.m_UnixMs = Ack + 5000}));
+  BOOST_REQUIRE_EQUAL(Log.summaries().size(), 1U);
+  BOOST_TEST(!Log.summaries().begin()->first.m_IsInTouch);
+  Until = Ack + 5000;
+  BOOST_TEST(Log.summaries().begin()->first.m_IsInTouch);
+}
+
 BOOST_AUTO_TEST_CASE(Report_severalGroups_namesTheWorstOfEachBesideTheBound) {
   add({.m_UnixMs = Ack + 40});
   m_Log.onAck({.m_Part = "targets", .m_Revision = 8, .m_AckMs = Ack + 100});
@@ -142,9 +161,11 @@
   m_Log.onAck({.m_Part = "targets", .m_Revision = 11, .m_AckMs = Ack + 5000});
   BOOST_TEST(
       m_Log.report() ==
-      "learned targets by copy as follower: worst 3300 of 3000 ms, 1 late of 1 "
+      "learned targets by copy as follower, in touch: worst 3300 of 3000 ms, 1 "
+      "late of 1 "
       "(vm-1, revision 8, config 0, 4321 ms in this role, unproven 900 ms)\n"
-      "learned targets by watch as watcher: worst 40 of 3000 ms, 0 late of 1 "
+      "learned targets by watch as watcher, in touch: worst 40 of 3000 ms, 0 "
+      "late of 1 "
       "(vm-1, revision 7, config 0, 4321 ms in this role, unproven 900 ms)\n"
       "not learned: 1\n");
 }
--- a/test/correctness/ReturnedStoreTest.cpp
+++ b/test/correctness/ReturnedStoreTest.cpp
@@ -38,6 +38,18 @@
     });
     m_Store->returnFromCopy();
   }
+  /** Removes the target i-2, and returns the store from the copy before, which
+   *  brings it back. */
+  void loseRemoval() {
+    startAndSettle(ShortDrainTime);
+    m_Store->put("servers", "i-2", m_Searcher->entry());
+    processEventsUntil([&] { return m_Recorder.m_Changed.size() == 1; });
+    m_Store->saveCopy();
+    m_Store->remove("servers", "i-2");
+    processEventsUntil([&] { return m_Recorder.m_Removed.size() == 1; });
+    m_Store->returnFromCopy();
+    processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  }
   bool isRead(const std::string &Kind, int Listings) const {
     const auto Found = m_Store->m_RequestCounts.find("list " + Kind);
     return Found != m_Store->m_RequestCounts.end() && Found->second >= Listings;
@@ -89,14 +101,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Target_removedLastAndBroughtBack_staysRemoved) {
-  startAndSettle(ShortDrainTime);
-  m_Store->put("servers", "i-2", m_Searcher->entry());
-  processEventsUntil([&] { return m_Recorder.m_Changed.size() == 1; });
-  m_Store->saveCopy();
-  m_Store->remove("servers", "i-2");
-  processEventsUntil([&] { return m_Recorder.m_Removed.size() == 1; });
-  m_Store->returnFromCopy();
-  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  loseRemoval();
   BOOST_TEST(m_Recorder.m_Listings.back() == 1U);
   BOOST_TEST(m_Recorder.m_Changed.size() == 1U);
   m_Store->remove("servers", "i-2");
@@ -107,14 +112,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Target_removedLastAndWrittenSince_isUsed) {
-  startAndSettle(ShortDrainTime);
-  m_Store->put("servers", "i-2", m_Searcher->entry());
-  processEventsUntil([&] { return m_Recorder.m_Changed.size() == 1; });
-  m_Store->saveCopy();
-  m_Store->remove("servers", "i-2");
-  processEventsUntil([&] { return m_Recorder.m_Removed.size() == 1; });
-  m_Store->returnFromCopy();
-  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  loseRemoval();
   QJsonObject Entry = m_Searcher->entry();
   Entry["sequence"] = 9;
   Entry["slots"] = 5; // A change of the sequence alone is no event.
@@ -124,14 +122,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Target_removedLastAndStillListed_isUsedAfterAWhile) {
-  startAndSettle(ShortDrainTime);
-  m_Store->put("servers", "i-2", m_Searcher->entry());
-  processEventsUntil([&] { return m_Recorder.m_Changed.size() == 1; });
-  m_Store->saveCopy();
-  m_Store->remove("servers", "i-2");
-  processEventsUntil([&] { return m_Recorder.m_Removed.size() == 1; });
-  m_Store->returnFromCopy();
-  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  loseRemoval();
   m_Synchronizer->onTick({}, Clock::now() + seconds(7));
   BOOST_TEST(m_Recorder.m_Changed.size() == 1U);
   m_Synchronizer->onTick({}, Clock::now() + seconds(9));
@@ -139,14 +130,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Target_heldBackAndMissingInAFullCopy_isNotUsedLater) {
-  startAndSettle(ShortDrainTime);
-  m_Store->put("servers", "i-2", m_Searcher->entry());
-  processEventsUntil([&] { return m_Recorder.m_Changed.size() == 1; });
-  m_Store->saveCopy();
-  m_Store->remove("servers", "i-2");
-  processEventsUntil([&] { return m_Recorder.m_Removed.size() == 1; });
-  m_Store->returnFromCopy();
-  processEventsUntil([&] { return m_Recorder.m_Listings.size() == 2; });
+  loseRemoval();
   QJsonObject Copy = parseJsonObject(m_Synchronizer->exportState("targets=0"));
   QJsonObject Targets = Copy["targets"].toObject();
   Targets.remove("i-2");
--- a/test/process/ReturnedStoreTest.cpp
+++ b/test/process/ReturnedStoreTest.cpp
@@ -1,6 +1,7 @@
 /** VMs as real processes with a store that returns from an older copy of its
  *  data. */
 
+#include "support/LearningLog.h"
 #include "support/RoutedFleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -166,4 +167,35 @@
   BOOST_TEST(runCount(*m_Other) == Before);
 }
 
+// The lines of the VMs and what reads them didn't agree on revisions.
+BOOST_AUTO_TEST_CASE(Change_ofATarget_isTimedByTheVmsLines) {
+  LearningLog Log;
+  m_Fleet.runOnStandinThread([&] {
+    const auto Now = std::chrono::system_clock::now().time_since_epoch();
+    m_Fleet.m_Store->put("servers", "i-other", m_Other->entry("draining"));
+    Log.onAck(
+        {.m_Part = "targets",
+         .m_Era = m_Fleet.m_Store->m_Era,
+         .m_Revision = m_Fleet.m_Store->revision(),
+         .m_AckMs = std::chrono::duration_cast<milliseconds>(Now).count()});
+  });
+  for (const auto &Each : m_Fleet.m_Vms)
+    BOOST_REQUIRE(
+        Each->m_Process->waitForLine("F0613", "leaving=i-other").has_value());
+  // The line follows what it is about.
+  std::size_t Count = 0;
+  const auto Deadline = steady_clock::now() + ChangeTime;
+  while (Count < m_Fleet.m_Vms.size() && steady_clock::now() < Deadline) {
+    LearningLog Read = Log;
+    for (const auto &Each : m_Fleet.m_Vms)
+      for (const std::string &Line : Each->m_Process->lines())
+        Read.addLine(Each->m_Name, Line);
+    Count = 0;
+    for (const auto &[Group, Summary] : Read.summaries())
+      Count += Group.m_Part == "targets" ? Summary.m_Count : 0;
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  BOOST_TEST(Count == m_Fleet.m_Vms.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/soak/DeploymentRun.cpp
+++ b/test/soak/DeploymentRun.cpp
@@ -84,6 +84,10 @@
       .count();
 }
 
+SteadyTime fromUnixMillis(std::int64_t Millis) {
+  return steady_clock::now() - milliseconds(unixMillis() - Millis);
+}
+
 std::string shardName(std::size_t Number) {
   return fmt::format("crew-portal-{}", Number);
 }
@@ -146,7 +150,13 @@
                       .m_IsSlowed =
                           [this](const std::string &, SteadyTime, SteadyTime) {
                             return m_Options.m_CpuShare < 1;
-                          }}) {
+                          }}),
+      m_Learning([this](const std::string &VmName, std::int64_t SinceMs,
+                        std::int64_t UntilMs) {
+        return UntilMs <= unixMillis() &&
+               m_Touch.isInTouch(VmName, fromUnixMillis(SinceMs),
+                                 fromUnixMillis(UntilMs));
+      }) {
   m_Fleet.m_GraceSeconds = 6;
   if (!m_Options.m_Binary.empty())
     m_Fleet.m_Binary = m_Options.m_Binary;
@@ -179,11 +189,6 @@
       Each.join();
   if (m_Sharer.joinable())
     m_Sharer.join();
-  for (const auto &Each : m_Vms)
-    collectLearning(*Each);
-  for (const test::ConfigViolation &Each :
-       m_ConfigChecks.violations(steady_clock::now()))
-    fail(Each.m_Rule, Each.m_Message);
   m_Fleet.m_Vms.clear();
   m_Fleet.runOnStandinThread([this] {
     for (const auto &Each : m_Vms)
@@ -657,6 +662,11 @@
     Each.join();
   if (m_Sharer.joinable())
     m_Sharer.join();
+  for (const auto &Each : m_Vms)
+    collectLearning(*Each);
+  for (const test::ConfigViolation &Each :
+       m_ConfigChecks.violations(steady_clock::now()))
+    fail(Each.m_Rule, Each.m_Message);
   if (!m_Options.m_LogFolder.empty())
     for (const auto &Each : m_Vms) {
       std::filesystem::create_directories(m_Options.m_LogFolder);
@@ -1010,6 +1020,7 @@
     // A change that a return may lose has no revision to wait for.
     if (Leaving->m_LeftWhileStable)
       m_Learning.onAck({.m_Part = "targets",
+                        .m_Era = m_Fleet.m_Store->m_Era,
                         .m_Revision = m_Fleet.m_Store->revision(),
                         .m_AckMs = AckMs});
     note(fmt::format("  {} {}, {}, revision {}", Leaving->m_Id,
--- a/test/support/LearningLog.cpp
+++ b/test/support/LearningLog.cpp
@@ -79,13 +79,17 @@
                    (Each.isFirst() && Each.m_UnixMs >= Change.m_AckMs);
           });
       if (Found == Lines.end()) {
-        ++Result.m_UnlearnedCount;
+        Result.m_UnlearnedCount +=
+            isInTouch(Vm, Change.m_AckMs, Change.m_AckMs + BoundMs) ? 1 : 0;
         continue;
       }
       if (Found->isFirst())
         continue;
       LearningSummary &Summary = Result.m_Summaries[{
-          .m_Part = Part, .m_Way = Found->m_Way, .m_Role = Found->m_Role}];
+          .m_Part = Part,
+          .m_Way = Found->m_Way,
+          .m_Role = Found->m_Role,
+          .m_IsInTouch = isInTouch(Vm, Change.m_AckMs, Found->m_UnixMs)}];
       const std::int64_t Time = Found->m_UnixMs - Change.m_AckMs;
       ++Summary.m_Count;
       Summary.m_LateCount += Time > BoundMs ? 1 : 0;
@@ -101,6 +105,11 @@
   return Result;
 }
 
+bool LearningLog::isInTouch(const std::string &Vm, std::int64_t SinceMs,
+                            std::int64_t UntilMs) const {
+  return !m_IsInTouch || m_IsInTouch(Vm, SinceMs, UntilMs);
+}
+
 std::map<LearningGroup, LearningSummary> LearningLog::summaries() const {
   return evaluate().m_Summaries;
 }
@@ -120,10 +129,11 @@
   std::string Text;
   for (const auto &[Group, Summary] : Sorted)
     Text += fmt::format(
-        "learned {} by {} as {}: worst {} of {} ms, {} late of {} ({}, "
+        "learned {} by {} as {}, {}: worst {} of {} ms, {} late of {} ({}, "
         "revision {}, config {}, {} ms in this role, unproven {} ms)\n",
-        Group.m_Part, Group.m_Way, Group.m_Role, Summary.m_WorstMs, BoundMs,
-        Summary.m_LateCount, Summary.m_Count, Summary.m_WorstVm,
+        Group.m_Part, Group.m_Way, Group.m_Role,
+        Group.m_IsInTouch ? "in touch" : "disturbed", Summary.m_WorstMs,
+        BoundMs, Summary.m_LateCount, Summary.m_Count, Summary.m_WorstVm,
         Summary.m_WorstChange.m_Revision, Summary.m_WorstChange.m_ConfigVersion,
         Summary.m_RoleMs, Summary.m_UnprovenMs);
   if (Result.m_UnlearnedCount > 0)
--- a/test/support/LearningLog.h
+++ b/test/support/LearningLog.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
   std::string m_Part;
   std::string m_Way;
   std::string m_Role;
+  /** Whether the VM was in touch from the ack until it applied the change. */
+  bool m_IsInTouch = true;
 
   auto operator<=>(const LearningGroup &) const = default; // NOLINT
 };
@@ -52,6 +55,13 @@
 public:
   /** The bound of configurations and of draining targets. */
   static constexpr std::int64_t BoundMs = 3000;
+  /** Whether a VM was in touch between two Unix times in ms. */
+  using TouchTest = std::function<bool(
+      const std::string &Vm, std::int64_t SinceMs, std::int64_t UntilMs)>;
+
+  /** Without \p IsInTouch, VMs always are. */
+  explicit LearningLog(TouchTest IsInTouch = {})
+      : m_IsInTouch(std::move(IsInTouch)) {}
 
   /** Called in the order of the acknowledgements. */
   void onAck(AckedChange Change);
@@ -61,8 +71,8 @@
   /** A change that a VM's first version (after its start) holds already isn't
    *  counted for that VM. */
   std::map<LearningGroup, LearningSummary> summaries() const;
-  /** Number of pairs of a VM and a change that it never applied though it
-   *  logged later ones or ran on; a VM that was killed counts as well. */
+  /** Number of pairs of a VM and a change that it never applied though it was
+   * in touch for BoundMs from the ack on. */
   std::size_t unlearnedCount() const;
   /** One line for each group, the worst one first. */
   std::string report() const;
@@ -87,6 +97,10 @@
   };
 
   Learned evaluate() const;
+  bool isInTouch(const std::string &Vm, std::int64_t SinceMs,
+                 std::int64_t UntilMs) const;
+
+  TouchTest m_IsInTouch;
 
   std::vector<AckedChange> m_Changes;
   /** By VM and part, in the order of the lines. */
